--- /dev/null
+++ b/src/features/model/FleetConfigChecks.h
@@ -0,0 +1,18 @@
+#ifndef REDWINGRACK_MODEL_FLEETCONFIGCHECKS_H
+#define REDWINGRACK_MODEL_FLEETCONFIGCHECKS_H
+
+#include <string>
+#include <vector>
+
+namespace rr {
+
+struct FleetConfig;
+
+/// Adds a line to \p Problems for each reference to something that does not
+/// exist, each name that stands twice and each share outside 0 to 1.
+void checkFleetConfig(const FleetConfig &Config,
+                      std::vector<std::string> &Problems);
+
+} // namespace rr
+
+#endif // REDWINGRACK_MODEL_FLEETCONFIGCHECKS_H
--- /dev/null
+++ b/src/libs/base/Clock.cpp
@@ -0,0 +1,45 @@
+#include "base/Clock.h"
+
+#include <atomic>
+#include <cassert>
+
+namespace rr {
+
+namespace {
+
+std::atomic<bool> Paused{false};
+// Reading of a paused clock, or the offset that a resumed clock adds.
+std::atomic<Clock::rep> PausedReading{0};
+std::atomic<Clock::rep> Offset{0};
+
+Clock::rep hardwareReading() noexcept {
+  const auto Now = std::chrono::steady_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<Clock::duration>(Now).count();
+}
+
+} // namespace
+
+Clock::time_point Clock::now() noexcept {
+  if (Paused.load(std::memory_order_relaxed))
+    return time_point(duration(PausedReading.load(std::memory_order_relaxed)));
+  return time_point(duration(hardwareReading() + Offset.load()));
+}
+
+void Clock::pause() {
+  PausedReading = now().time_since_epoch().count();
+  Paused = true;
+}
+
+void Clock::resume() {
+  Offset = PausedReading - hardwareReading();
+  Paused = false;
+}
+
+void Clock::advance(duration Step) {
+  assert(Paused && Step >= duration::zero());
+  PausedReading += Step.count();
+}
+
+bool Clock::isPaused() noexcept { return Paused; }
+
+} // namespace rr
--- /dev/null
+++ b/src/libs/base/Timer.h
@@ -0,0 +1,26 @@
+#ifndef REDWINGRACK_BASE_TIMER_H
+#define REDWINGRACK_BASE_TIMER_H
+
+#include "base/Clock.h"
+
+#include <asio/awaitable.hpp>
+#include <asio/basic_waitable_timer.hpp>
+
+namespace rr {
+
+/// Tells Asio how long to sleep until a reading of rr::Clock.
+struct ClockWaitTraits {
+  static Clock::duration to_wait_duration(const Clock::duration &Remaining);
+  static Clock::duration to_wait_duration(const Clock::time_point &Expiry);
+};
+
+/// Asio timer on rr::Clock.
+using Timer = asio::basic_waitable_timer<Clock, ClockWaitTraits>;
+
+/// Suspends the calling coroutine for \p Time. Throws asio::system_error only
+/// when the coroutine is cancelled.
+asio::awaitable<void> sleepFor(Clock::duration Time);
+
+} // namespace rr
+
+#endif // REDWINGRACK_BASE_TIMER_H
--- /dev/null
+++ b/src/libs/testing/TestLoop.cpp
@@ -0,0 +1,49 @@
+#include "testing/TestLoop.h"
+
+#include "base/Timer.h"
+
+#include <algorithm>
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <exception>
+
+namespace rr {
+
+TestLoop::TestLoop() { Clock::pause(); }
+
+TestLoop::~TestLoop() { Clock::resume(); }
+
+void TestLoop::spawn(std::function<asio::awaitable<void>()> Task) {
+  auto OnEnd = [](const std::exception_ptr &Error) {
+    if (Error)
+      std::rethrow_exception(Error);
+  };
+  // The callable must outlive the coroutine that refers to its captures.
+  auto Run =
+      [](std::function<asio::awaitable<void>()> Body) -> asio::awaitable<void> {
+    co_await Body();
+  };
+  asio::co_spawn(this->Context, Run(std::move(Task)), OnEnd);
+  this->run();
+}
+
+void TestLoop::run() {
+  // A timer that has expired makes the reactor look at all timers now, in
+  // place of waiting for its next hardware time-out.
+  Timer Trigger(this->Context, Clock::time_point::min());
+  Trigger.async_wait([](const asio::error_code &) {});
+  this->Context.restart();
+  while (this->Context.poll() > 0) {
+  }
+}
+
+void TestLoop::advance(Clock::duration Time, Clock::duration Step) {
+  while (Time > Clock::duration::zero()) {
+    const Clock::duration Part = std::min(Time, Step);
+    Clock::advance(Part);
+    Time -= Part;
+    this->run();
+  }
+}
+
+} // namespace rr
