Add platform interface with read-back of unanswered writes

Cause: the store loses answers after a write took effect, and every feature that writes has to tell its own write from another writer's. Conclusion: writers pass a probe row that only their transaction writes.

--- /dev/null
+++ b/src/libs/platform/PlatformCalls.cpp
@@ -0,0 +1,102 @@
+#include "platform/PlatformCalls.h"
+
+#include "base/Random.h"
+#include "base/Timer.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace rr {
+
+namespace {
+
+constexpr int MostAttempts = 3;
+constexpr std::chrono::milliseconds FirstRetryDelay{50};
+constexpr std::size_t PageSize = 500;
+
+asio::awaitable<void> waitBeforeRetry(int Attempt) {
+  static RandomEngine Engine(randomSeed());
+  const auto Most = FirstRetryDelay * (1 << Attempt);
+  std::uniform_int_distribution<std::int64_t> Jitter(Most.count() / 2,
+                                                     Most.count());
+  co_await sleepFor(std::chrono::milliseconds(Jitter(Engine)));
+}
+
+bool mayRepeat(const std::error_code &Error) {
+  return Error == Errc::Unavailable || Error == Errc::Timeout ||
+         Error == Errc::Unknown;
+}
+
+const RowWrite *findWrite(const Transaction &Writes, const std::string &Key) {
+  const auto Found =
+      std::find_if(Writes.Writes.begin(), Writes.Writes.end(),
+                   [&](const RowWrite &Write) { return Write.Key == Key; });
+  return Found == Writes.Writes.end() ? nullptr : &*Found;
+}
+
+bool holdsWrite(const std::optional<Row> &Current, const RowWrite &Write) {
+  if (Write.Action == RowWrite::Kind::Erase)
+    return !Current;
+  return Current && Current->Value == Write.Value;
+}
+
+// Outcome of a write whose answer was lost.
+asio::awaitable<Outcome<void>> readBack(const Platform &Store,
+                                        const RowWrite &Probe) {
+  const auto Current = co_await readRow(Store, Probe.Key);
+  if (!Current)
+    co_return failure(Errc::Unknown);
+  if (holdsWrite(*Current, Probe))
+    co_return Outcome<void>();
+  co_return failure(Errc::Conflict);
+}
+
+} // namespace
+
+asio::awaitable<Outcome<std::optional<Row>>> readRow(const Platform &Store,
+                                                     std::string Key) {
+  for (int Attempt = 0;; ++Attempt) {
+    auto Result = co_await Store.ReadRow(Key);
+    if (Result || !mayRepeat(Result.error()) || Attempt + 1 == MostAttempts)
+      co_return Result;
+    co_await waitBeforeRetry(Attempt);
+  }
+}
+
+asio::awaitable<Outcome<std::vector<Row>>> listRows(const Platform &Store,
+                                                    std::string Prefix) {
+  std::vector<Row> Result;
+  for (;;) {
+    const std::string After =
+        Result.empty() ? std::string() : Result.back().Key;
+    auto Page = co_await Store.ListRows(Prefix, After, PageSize);
+    if (!Page)
+      co_return tl::unexpected<std::error_code>(Page.error());
+    Result.insert(Result.end(), Page->begin(), Page->end());
+    if (Page->size() < PageSize)
+      co_return Result;
+  }
+}
+
+asio::awaitable<Outcome<void>> commitVerified(const Platform &Store,
+                                              Transaction Writes,
+                                              std::string ProbeKey) {
+  const RowWrite *Probe = findWrite(Writes, ProbeKey);
+  // An attempt whose answer was lost makes a later conflict ambiguous: the
+  // conflict may come from the transaction's own first attempt.
+  bool AnswerLost = false;
+  for (int Attempt = 0;; ++Attempt) {
+    auto Result = co_await Store.Commit(Writes);
+    if (Result)
+      co_return Result;
+    AnswerLost = AnswerLost || Result.error() == Errc::Unknown;
+    const bool Last = Attempt + 1 == MostAttempts;
+    if (Result.error() == Errc::Conflict || (AnswerLost && Last))
+      co_return AnswerLost &&Probe ? co_await readBack(Store, *Probe) : Result;
+    if (!mayRepeat(Result.error()) || Last)
+      co_return Result;
+    co_await waitBeforeRetry(Attempt);
+  }
+}
+
+} // namespace rr
--- /dev/null
+++ b/src/libs/platform/Transaction.h
@@ -0,0 +1,17 @@
+#ifndef REDWINGRACK_PLATFORM_TRANSACTION_H
+#define REDWINGRACK_PLATFORM_TRANSACTION_H
+
+#include "platform/RowWrite.h"
+
+#include <vector>
+
+namespace rr {
+
+/// Writes that take effect together or not at all.
+struct Transaction {
+  std::vector<RowWrite> Writes;
+};
+
+} // namespace rr
+
+#endif // REDWINGRACK_PLATFORM_TRANSACTION_H
