Add HTTP client on libcurl and HTTP listener on RESTinio

Cause: callers, backend servers and the platform speak HTTP/1.1. Change: HttpClient drives libcurl's multi handle from the Asio loop, says whether bytes may have left and never resends a request by itself; HttpListener runs a coroutine a request and cancels it when the caller goes. Conclusion: base for the request path.

--- /dev/null
+++ b/src/libs/httpclient/Transfer.cpp
@@ -0,0 +1,182 @@
+#include "httpclient/Transfer.h"
+
+#include "base/Errc.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rr {
+
+namespace {
+
+constexpr long LongestConnectionIdleSeconds = 15;
+
+std::error_code errorFor(CURLcode Code) {
+  switch (Code) {
+  case CURLE_OK:
+    return {};
+  case CURLE_COULDNT_CONNECT:
+    return Errc::ConnectionRefused;
+  case CURLE_OPERATION_TIMEDOUT:
+    return Errc::Timeout;
+  case CURLE_URL_MALFORMAT:
+  case CURLE_UNSUPPORTED_PROTOCOL:
+  case CURLE_COULDNT_RESOLVE_HOST:
+  case CURLE_WEIRD_SERVER_REPLY:
+    return Errc::Malformed;
+  default:
+    return Errc::ConnectionLost;
+  }
+}
+
+bool hasBody(const HttpRequest &Request) {
+  return !Request.Body.empty() || Request.Method == "POST" ||
+         Request.Method == "PUT" || Request.Method == "PATCH";
+}
+
+std::string trimmed(const std::string &Text) {
+  const char *const Blank = " \t\r\n";
+  const auto First = Text.find_first_not_of(Blank);
+  if (First == std::string::npos)
+    return {};
+  return Text.substr(First, Text.find_last_not_of(Blank) - First + 1);
+}
+
+} // namespace
+
+Transfer::Transfer(const asio::any_io_executor &Executor, HttpRequest Request)
+    : Done(Executor), Request(std::move(Request)), Easy(curl_easy_init()) {
+  this->configure();
+  this->configureHeaders();
+  this->configureBody();
+}
+
+Transfer::~Transfer() {
+  curl_easy_cleanup(this->Easy);
+  curl_slist_free_all(this->HeaderList);
+}
+
+void Transfer::configure() {
+  using std::chrono::ceil;
+  using std::chrono::seconds;
+  const auto Set = [&](CURLoption Option, auto Value) {
+    curl_easy_setopt(this->Easy, Option, Value);
+  };
+  Set(CURLOPT_URL, this->Request.Url.c_str());
+  Set(CURLOPT_PRIVATE, this);
+  Set(CURLOPT_NOSIGNAL, 1L);
+  Set(CURLOPT_PROXY, "");
+  Set(CURLOPT_PROTOCOLS_STR, "http");
+  Set(CURLOPT_HTTP_VERSION, long{CURL_HTTP_VERSION_1_1});
+  Set(CURLOPT_TCP_NODELAY, 1L);
+  Set(CURLOPT_TCP_KEEPALIVE, 1L);
+  Set(CURLOPT_TCP_KEEPIDLE, 5L);
+  Set(CURLOPT_TCP_KEEPINTVL, 2L);
+  Set(CURLOPT_MAXAGE_CONN, LongestConnectionIdleSeconds);
+  Set(CURLOPT_CONNECTTIMEOUT_MS,
+      static_cast<long>(this->Request.ConnectTimeout.count()));
+  Set(CURLOPT_TIMEOUT_MS,
+      static_cast<long>(std::max<std::chrono::milliseconds::rep>(
+          1, this->Request.Timeout.count())));
+  Set(CURLOPT_LOW_SPEED_LIMIT, 1L);
+  Set(CURLOPT_LOW_SPEED_TIME,
+      static_cast<long>(ceil<seconds>(this->Request.StallTimeout).count()));
+  Set(CURLOPT_HEADERFUNCTION, &Transfer::onHeader);
+  Set(CURLOPT_HEADERDATA, this);
+  Set(CURLOPT_WRITEFUNCTION, &Transfer::onBody);
+  Set(CURLOPT_WRITEDATA, this);
+  Set(CURLOPT_PREREQFUNCTION, &Transfer::onBeforeRequest);
+  Set(CURLOPT_PREREQDATA, this);
+}
+
+void Transfer::configureHeaders() {
+  // Without these, libcurl adds fields that the caller did not send.
+  for (const char *Suppressed : {"Expect:", "Accept:", "User-Agent:"})
+    this->HeaderList = curl_slist_append(this->HeaderList, Suppressed);
+  if (!findHeader(this->Request.Headers, "Content-Type"))
+    this->HeaderList = curl_slist_append(this->HeaderList, "Content-Type:");
+  for (const HttpHeader &Field : this->Request.Headers) {
+    // A field with an empty value has to end with a semicolon here.
+    const std::string Line = Field.Value.empty()
+                                 ? Field.Name + ";"
+                                 : Field.Name + ": " + Field.Value;
+    this->HeaderList = curl_slist_append(this->HeaderList, Line.c_str());
+  }
+  curl_easy_setopt(this->Easy, CURLOPT_HTTPHEADER, this->HeaderList);
+}
+
+void Transfer::configureBody() {
+  if (this->Request.Method == "HEAD")
+    curl_easy_setopt(this->Easy, CURLOPT_NOBODY, 1L);
+  if (hasBody(this->Request)) {
+    curl_easy_setopt(this->Easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(this->Easy, CURLOPT_POSTFIELDS,
+                     this->Request.Body.c_str());
+    curl_easy_setopt(this->Easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(this->Request.Body.size()));
+  }
+  curl_easy_setopt(this->Easy, CURLOPT_CUSTOMREQUEST,
+                   this->Request.Method.c_str());
+}
+
+void Transfer::refuseConnectionsOlderThan(Clock::duration Age) {
+  const long Seconds = static_cast<long>(
+      std::chrono::duration_cast<std::chrono::seconds>(Age).count());
+  if (Seconds < 1)
+    curl_easy_setopt(this->Easy, CURLOPT_FRESH_CONNECT, 1L);
+  else
+    curl_easy_setopt(this->Easy, CURLOPT_MAXLIFETIME_CONN, Seconds);
+}
+
+int Transfer::onBeforeRequest(void *Self, char *, char *, int, int) {
+  auto *This = static_cast<Transfer *>(Self);
+  // libcurl repeats a request by itself when a kept connection was closed
+  // under it; the first try may have reached the server.
+  if (This->Result.MayHaveBeenSent && This->Request.AtMostOnce)
+    return CURL_PREREQFUNC_ABORT;
+  This->Result.MayHaveBeenSent = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+std::size_t Transfer::onHeader(char *Data, std::size_t Size, std::size_t Count,
+                               void *Self) {
+  auto *This = static_cast<Transfer *>(Self);
+  const std::string Line(Data, Size * Count);
+  This->Result.AnswerStarted = true;
+  if (Line.compare(0, 5, "HTTP/") == 0) {
+    This->Result.Headers.clear();
+    return Size * Count;
+  }
+  const auto Colon = Line.find(':');
+  if (Colon != std::string::npos)
+    This->Result.Headers.push_back(
+        {trimmed(Line.substr(0, Colon)), trimmed(Line.substr(Colon + 1))});
+  return Size * Count;
+}
+
+std::size_t Transfer::onBody(char *Data, std::size_t Size, std::size_t Count,
+                             void *Self) {
+  auto *This = static_cast<Transfer *>(Self);
+  const std::size_t Bytes = Size * Count;
+  if (This->Result.Body.size() + Bytes > This->Request.LargestAnswer) {
+    This->AnswerTooLarge = true;
+    return 0;
+  }
+  This->Result.Body.append(Data, Bytes);
+  return Bytes;
+}
+
+void Transfer::finish(CURLcode Code) {
+  long Status = 0;
+  curl_easy_getinfo(this->Easy, CURLINFO_RESPONSE_CODE, &Status);
+  this->Result.Status = static_cast<int>(Status);
+  this->finish(this->AnswerTooLarge ? make_error_code(Errc::TooLarge)
+                                    : errorFor(Code));
+}
+
+void Transfer::finish(std::error_code Error) {
+  this->Result.Error = Error;
+  this->Done.set();
+}
+
+} // namespace rr
--- /dev/null
+++ b/src/libs/httpclient/Transfer.h
@@ -0,0 +1,55 @@
+#ifndef REDWINGRACK_HTTPCLIENT_TRANSFER_H
+#define REDWINGRACK_HTTPCLIENT_TRANSFER_H
+
+#include "base/Clock.h"
+#include "base/OneShotEvent.h"
+#include "httpclient/HttpRequest.h"
+#include "httpclient/HttpResult.h"
+
+#include <curl/curl.h>
+#include <string>
+
+namespace rr {
+
+/// One request on its way through libcurl.
+class Transfer {
+public:
+  Transfer(const asio::any_io_executor &Executor, HttpRequest Request);
+  ~Transfer();
+  Transfer(const Transfer &) = delete;
+  Transfer &operator=(const Transfer &) = delete;
+
+  CURL *easy() const { return this->Easy; }
+  const HttpRequest &request() const { return this->Request; }
+  const HttpResult &result() const { return this->Result; }
+
+  /// Connections made before this age are not used again.
+  void refuseConnectionsOlderThan(Clock::duration Age);
+
+  /// Called once, when libcurl is done with the transfer.
+  void finish(CURLcode Code);
+  void finish(std::error_code Error);
+
+  OneShotEvent Done;
+
+private:
+  void configure();
+  void configureBody();
+  void configureHeaders();
+  static int onBeforeRequest(void *Self, char *PeerAddress, char *LocalAddress,
+                             int PeerPort, int LocalPort);
+  static std::size_t onHeader(char *Data, std::size_t Size, std::size_t Count,
+                              void *Self);
+  static std::size_t onBody(char *Data, std::size_t Size, std::size_t Count,
+                            void *Self);
+
+  HttpRequest Request;
+  HttpResult Result;
+  CURL *Easy = nullptr;
+  curl_slist *HeaderList = nullptr;
+  bool AnswerTooLarge = false;
+};
+
+} // namespace rr
+
+#endif // REDWINGRACK_HTTPCLIENT_TRANSFER_H
--- /dev/null
+++ b/src/libs/httpserver/ListenerSettings.h
@@ -0,0 +1,27 @@
+#ifndef REDWINGRACK_HTTPSERVER_LISTENERSETTINGS_H
+#define REDWINGRACK_HTTPSERVER_LISTENERSETTINGS_H
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace rr {
+
+/// Address and bounds of a listener.
+struct ListenerSettings {
+  /// IP number.
+  std::string Address = "127.0.0.1";
+  std::uint16_t Port = 0;
+  /// Bytes.
+  std::uint64_t LargestBody = 1U << 20;
+  std::uint64_t LargestUrl = 8U << 10;
+  std::uint64_t LargestHeaders = 64;
+  std::size_t MostConnections = 4096;
+  std::chrono::seconds ReadTimeout{30};
+  std::chrono::seconds HandleTimeout{65};
+  std::chrono::seconds WriteTimeout{10};
+};
+
+} // namespace rr
+
+#endif // REDWINGRACK_HTTPSERVER_LISTENERSETTINGS_H
--- /dev/null
+++ b/src/libs/httpserver/ReasonPhrase.h
@@ -0,0 +1,13 @@
+#ifndef REDWINGRACK_HTTPSERVER_REASONPHRASE_H
+#define REDWINGRACK_HTTPSERVER_REASONPHRASE_H
+
+#include <string>
+
+namespace rr {
+
+/// Reason phrase of an HTTP status; "Status" for one that is not known.
+std::string reasonPhrase(int Status);
+
+} // namespace rr
+
+#endif // REDWINGRACK_HTTPSERVER_REASONPHRASE_H
--- /dev/null
+++ b/src/libs/httpserver/tst_HttpLoopback.cpp
@@ -0,0 +1,124 @@
+#include "base/Errc.h"
+#include "base/Timer.h"
+#include "httpclient/HttpClient.h"
+#include "httpserver/HttpListener.h"
+
+#include <asio/co_spawn.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/use_awaitable.hpp>
+#include <asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <exception>
+
+using namespace rr;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Listener and client on one loop, on a port that the system chose.
+struct Loopback {
+  explicit Loopback(HttpListener::Handler Handle)
+      : Listener(this->Context, ListenerSettings(), std::move(Handle)),
+        Client(this->Context, 8) {}
+
+  std::string url(const std::string &Path) const {
+    return "http://127.0.0.1:" + std::to_string(this->Listener.port()) + Path;
+  }
+
+  void run(std::function<asio::awaitable<void>()> Task) {
+    asio::co_spawn(this->Context, Task, [&](const std::exception_ptr &Error) {
+      this->Listener.close();
+      this->Context.stop();
+      if (Error)
+        std::rethrow_exception(Error);
+    });
+    this->Context.run();
+  }
+
+  asio::io_context Context;
+  HttpListener Listener;
+  HttpClient Client;
+};
+
+asio::awaitable<HttpResponse> echo(HttpServerRequest Request) {
+  co_return jsonResponse(200, Request.Method + Request.Path + Request.Body);
+}
+
+HttpRequest makeRequest(const std::string &Url) {
+  HttpRequest Result;
+  Result.Url = Url;
+  return Result;
+}
+
+} // namespace
+
+// Guards against bodies and methods that change on their way.
+TEST_CASE("A request over loopback gets its own answer") {
+  Loopback Net(echo);
+  HttpResult Result;
+  Net.run([&]() -> asio::awaitable<void> {
+    HttpRequest Request = makeRequest(Net.url("/a"));
+    Request.Method = "POST";
+    Request.Body = "text";
+    Result = co_await Net.Client.send(Request);
+  });
+  CHECK_FALSE(Result.Error);
+  CHECK(Result.Status == 200);
+  CHECK(Result.Body == "POST/atext");
+}
+
+// Guards against "not run" being said of a request that may have left.
+TEST_CASE("A refused connection leaves nothing sent, a lost one may have") {
+  asio::io_context Context;
+  asio::ip::tcp::acceptor Acceptor(Context,
+                                   {asio::ip::make_address("127.0.0.1"), 0});
+  const std::string Address =
+      "http://127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+  HttpClient Client(Context, 8);
+  HttpResult Lost;
+  HttpResult Refused;
+  const auto CloseOne = [&]() -> asio::awaitable<void> {
+    auto Socket = co_await Acceptor.async_accept(asio::use_awaitable);
+    char Buffer[64];
+    co_await Socket.async_read_some(asio::buffer(Buffer), asio::use_awaitable);
+    Socket.close();
+    Acceptor.close();
+  };
+  const auto Ask = [&]() -> asio::awaitable<void> {
+    HttpRequest Request = makeRequest(Address);
+    Lost = co_await Client.send(Request);
+    Refused = co_await Client.send(Request);
+  };
+  const auto Rethrow = [](const std::exception_ptr &Error) {
+    if (Error)
+      std::rethrow_exception(Error);
+  };
+  asio::co_spawn(Context, CloseOne, Rethrow);
+  asio::co_spawn(Context, Ask, Rethrow);
+  Context.run();
+  CHECK(Lost.Error == Errc::ConnectionLost);
+  CHECK(Lost.MayHaveBeenSent);
+  CHECK(Refused.Error == Errc::ConnectionRefused);
+  CHECK_FALSE(Refused.MayHaveBeenSent);
+}
+
+// Guards against work that goes on for callers that have left.
+TEST_CASE("Closing the caller's connection cancels its request") {
+  bool Cancelled = false;
+  Loopback Net([&](HttpServerRequest Request) -> asio::awaitable<HttpResponse> {
+    Request.Cancel->onCancel([&] { Cancelled = true; });
+    for (int I = 0; I < 100 && !Cancelled; ++I)
+      co_await sleepFor(20ms);
+    co_return HttpResponse();
+  });
+  HttpResult Result;
+  Net.run([&]() -> asio::awaitable<void> {
+    HttpRequest Request = makeRequest(Net.url("/slow"));
+    Request.Timeout = 100ms;
+    Result = co_await Net.Client.send(Request);
+    for (int I = 0; I < 100 && !Cancelled; ++I)
+      co_await sleepFor(20ms);
+  });
+  CHECK(Result.Error == Errc::Timeout);
+  CHECK(Cancelled);
+}
