Add settings, numbered events and the HTTP platform adapter

Cause: the instance needs checked settings, logs and the store. Change: TOML settings with all mistakes at once, log4cplus events from one table, platform calls over HTTP and JSON.

--- /dev/null
+++ b/src/libs/logging/Event.h
@@ -0,0 +1,17 @@
+#ifndef REDWINGRACK_LOGGING_EVENT_H
+#define REDWINGRACK_LOGGING_EVENT_H
+
+#include <cstdint>
+
+namespace rr {
+
+/// Numbered events; docs/events.md explains each.
+enum class Event : std::uint16_t {
+#define EVENT(NUMBER, NAME, SEVERITY, TEXT) NAME = NUMBER,
+#include "logging/Events.def"
+#undef EVENT
+};
+
+} // namespace rr
+
+#endif // REDWINGRACK_LOGGING_EVENT_H
--- /dev/null
+++ b/src/libs/logging/EventLog.h
@@ -0,0 +1,29 @@
+#ifndef REDWINGRACK_LOGGING_EVENTLOG_H
+#define REDWINGRACK_LOGGING_EVENTLOG_H
+
+#include "logging/Event.h"
+#include "logging/EventField.h"
+
+#include <string>
+#include <vector>
+
+namespace rr {
+
+/// How events are written to standard error.
+struct EventLogSettings {
+  bool Json = false;
+  /// debug, info, warning or error.
+  std::string Level = "info";
+};
+
+void startEventLog(const EventLogSettings &Settings);
+
+/// Writes one line for the event. Never pass a caller's key.
+void logEvent(Event Number, const std::vector<EventField> &Fields = {});
+
+/// The catalogue of all events as a Markdown table.
+std::string eventCatalogue();
+
+} // namespace rr
+
+#endif // REDWINGRACK_LOGGING_EVENTLOG_H
--- /dev/null
+++ b/src/libs/platform/HttpPlatform.cpp
@@ -0,0 +1,197 @@
+#include "platform/HttpPlatform.h"
+
+#include "httpclient/HttpClient.h"
+#include "platform/PlatformJson.h"
+
+#include <memory>
+#include <utility>
+
+namespace rr {
+
+namespace {
+
+using nlohmann::json;
+
+/// Where and how the platform is reached.
+struct Endpoint {
+  HttpClient *Client = nullptr;
+  std::string BaseUrl;
+  std::chrono::milliseconds Timeout{};
+};
+
+using EndpointPtr = std::shared_ptr<const Endpoint>;
+
+bool isUnreserved(unsigned char Character) {
+  return std::isalnum(Character) || Character == '-' || Character == '.' ||
+         Character == '_' || Character == '~';
+}
+
+std::string encode(const std::string &Text) {
+  static constexpr char Digits[] = "0123456789ABCDEF";
+  std::string Result;
+  for (const unsigned char Character : Text) {
+    if (isUnreserved(Character)) {
+      Result.push_back(static_cast<char>(Character));
+      continue;
+    }
+    Result.push_back('%');
+    Result.push_back(Digits[Character >> 4]);
+    Result.push_back(Digits[Character & 15]);
+  }
+  return Result;
+}
+
+HttpRequest makeRequest(const Endpoint &Target, const char *Method,
+                        const std::string &Path, std::string Body) {
+  HttpRequest Result;
+  Result.Method = Method;
+  Result.Url = Target.BaseUrl + Path;
+  Result.Body = std::move(Body);
+  Result.ConnectTimeout = Target.Timeout;
+  Result.Timeout = Target.Timeout;
+  return Result;
+}
+
+std::error_code errorOf(const HttpResult &Result) {
+  if (!Result.MayHaveBeenSent)
+    return Errc::Unavailable;
+  if (Result.Error)
+    return Errc::Unknown;
+  switch (Result.Status) {
+  case 200:
+    return {};
+  case 404:
+    return Errc::NotFound;
+  case 409:
+    return Errc::Conflict;
+  case 400:
+    return Errc::Malformed;
+  default:
+    return Errc::Unknown;
+  }
+}
+
+asio::awaitable<Outcome<std::string>> call(EndpointPtr Target,
+                                           HttpRequest Request) {
+  const HttpResult Result = co_await Target->Client->send(std::move(Request));
+  const std::error_code Error = errorOf(Result);
+  if (Error)
+    co_return tl::unexpected<std::error_code>(Error);
+  co_return Result.Body;
+}
+
+// A read has no effect, so a lost answer is as good as no answer.
+std::error_code readError(const std::error_code &Error) {
+  return Error == Errc::Unknown ? make_error_code(Errc::Unavailable) : Error;
+}
+
+asio::awaitable<Outcome<json>> readJson(EndpointPtr Target, std::string Path) {
+  HttpRequest Request = makeRequest(*Target, "GET", Path, "");
+  const auto Text = co_await call(Target, std::move(Request));
+  if (!Text)
+    co_return tl::unexpected<std::error_code>(readError(Text.error()));
+  co_return parseJson(*Text);
+}
+
+asio::awaitable<Outcome<void>> write(EndpointPtr Target, HttpRequest Request) {
+  const auto Text = co_await call(Target, std::move(Request));
+  if (!Text)
+    co_return tl::unexpected<std::error_code>(Text.error());
+  co_return Outcome<void>();
+}
+
+asio::awaitable<Outcome<std::optional<Row>>> readRowOnce(EndpointPtr Target,
+                                                         std::string Key) {
+  const auto Text = co_await readJson(Target, "/v1/rows?key=" + encode(Key));
+  if (!Text && Text.error() == Errc::NotFound)
+    co_return std::optional<Row>();
+  if (!Text)
+    co_return tl::unexpected<std::error_code>(Text.error());
+  const auto Found = rowFromJson(*Text);
+  if (!Found)
+    co_return failure(Errc::Malformed);
+  co_return std::optional<Row>(*Found);
+}
+
+template <typename T>
+Outcome<std::vector<T>> listFromJson(const json &Text, const char *Key,
+                                     Outcome<T> (*Read)(const json &)) {
+  if (!Text.is_object() || !Text.contains(Key) || !Text[Key].is_array())
+    return failure(Errc::Malformed);
+  std::vector<T> Result;
+  for (const json &Item : Text[Key]) {
+    auto Value = Read(Item);
+    if (!Value)
+      return failure(Errc::Malformed);
+    Result.push_back(std::move(*Value));
+  }
+  return Result;
+}
+
+asio::awaitable<Outcome<std::vector<Row>>> listRowsOnce(EndpointPtr Target,
+                                                        std::string Prefix,
+                                                        std::string After,
+                                                        std::size_t Limit) {
+  const std::string Path = "/v1/rows?prefix=" + encode(Prefix) +
+                           "&after=" + encode(After) +
+                           "&limit=" + std::to_string(Limit);
+  const auto Text = co_await readJson(Target, Path);
+  if (!Text)
+    co_return tl::unexpected<std::error_code>(Text.error());
+  co_return listFromJson<Row>(*Text, "rows", rowFromJson);
+}
+
+asio::awaitable<Outcome<std::vector<InstanceRecord>>>
+listInstancesOnce(EndpointPtr Target) {
+  const auto Text = co_await readJson(Target, "/v1/instances");
+  if (!Text)
+    co_return tl::unexpected<std::error_code>(Text.error());
+  co_return listFromJson<InstanceRecord>(*Text, "instances", instanceFromJson);
+}
+
+asio::awaitable<Outcome<std::string>> getObjectOnce(EndpointPtr Target,
+                                                    std::string Name) {
+  HttpRequest Request =
+      makeRequest(*Target, "GET", "/v1/objects?name=" + encode(Name), "");
+  Request.LargestAnswer = 64U << 20;
+  const auto Text = co_await call(Target, std::move(Request));
+  if (!Text)
+    co_return tl::unexpected<std::error_code>(readError(Text.error()));
+  co_return *Text;
+}
+
+} // namespace
+
+Platform makeHttpPlatform(HttpClient &Client, std::string BaseUrl,
+                          std::chrono::milliseconds Timeout) {
+  auto Target = std::make_shared<const Endpoint>(
+      Endpoint{&Client, std::move(BaseUrl), Timeout});
+  Platform Result;
+  Result.ReadRow = [Target](std::string Key) {
+    return readRowOnce(Target, std::move(Key));
+  };
+  Result.ListRows = [Target](std::string Prefix, std::string After,
+                             std::size_t Limit) {
+    return listRowsOnce(Target, std::move(Prefix), std::move(After), Limit);
+  };
+  Result.Commit = [Target](Transaction Writes) {
+    return write(Target, makeRequest(*Target, "POST", "/v1/commit",
+                                     formatJson(toJson(Writes))));
+  };
+  Result.GetObject = [Target](std::string Name) {
+    return getObjectOnce(Target, std::move(Name));
+  };
+  Result.PutObject = [Target](std::string Name, std::string Data) {
+    return write(Target,
+                 makeRequest(*Target, "PUT", "/v1/objects?name=" + encode(Name),
+                             std::move(Data)));
+  };
+  Result.ListInstances = [Target]() { return listInstancesOnce(Target); };
+  Result.AnnounceInstance = [Target](InstanceRecord Self) {
+    return write(Target, makeRequest(*Target, "PUT", "/v1/instances",
+                                     formatJson(toJson(Self))));
+  };
+  return Result;
+}
+
+} // namespace rr
--- /dev/null
+++ b/src/libs/settings/Settings.h
@@ -0,0 +1,52 @@
+#ifndef REDWINGRACK_SETTINGS_SETTINGS_H
+#define REDWINGRACK_SETTINGS_SETTINGS_H
+
+#include "settings/OperatorToken.h"
+#include "settings/SocketAddress.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace rr {
+
+/// Settings of one instance, read from a TOML file; docs/settings.md lists
+/// the keys and defaults.
+struct Settings {
+  std::string InstanceName;
+  std::string Zone;
+  SocketAddress CallerListen;
+  SocketAddress PeerListen;
+  SocketAddress AdminListen;
+  /// Address that look-ups give to callers; CallerListen when not set.
+  std::string AdvertisedCallerAddress;
+  std::string AdvertisedPeerAddress;
+
+  std::string PlatformUrl;
+  std::chrono::milliseconds PlatformTimeout{1000};
+
+  std::string PeerSecret;
+  /// Peer addresses that are asked for the control state at the start.
+  std::vector<std::string> PeerSeeds;
+
+  std::uint64_t LargestRequestBody = 1U << 20;
+  std::uint64_t LargestAnswerBody = 8U << 20;
+  std::uint64_t MostCallerConnections = 4096;
+  std::chrono::milliseconds LookupMaxAge{10000};
+  std::chrono::milliseconds StopGrace{10000};
+  std::chrono::milliseconds LongestStop{30000};
+
+  std::vector<OperatorToken> OperatorTokens;
+
+  bool LogJson = false;
+  std::string LogLevel = "info";
+  /// File that spans are appended to; empty for none.
+  std::string SpanFile;
+  /// OTLP/HTTP address that spans are posted to; empty for none.
+  std::string SpanUrl;
+};
+
+} // namespace rr
+
+#endif // REDWINGRACK_SETTINGS_SETTINGS_H
--- /dev/null
+++ b/src/libs/settings/TomlReader.cpp
@@ -0,0 +1,102 @@
+#include "settings/TomlReader.h"
+
+#include <utility>
+
+namespace rr {
+
+TomlReader::TomlReader(const toml::table *Table, std::string Path,
+                       std::string File, Diagnostics &Found)
+    : Table(Table), Path(std::move(Path)), File(std::move(File)), Found(Found) {
+}
+
+const toml::node *TomlReader::find(const char *Key) {
+  this->Known.insert(Key);
+  return this->Table ? this->Table->get(Key) : nullptr;
+}
+
+void TomlReader::problem(const char *Key, const std::string &Expected) {
+  const toml::node *Node = this->Table ? this->Table->get(Key) : nullptr;
+  if (!Node)
+    Node = this->Table;
+  const auto Line = Node ? Node->source().begin.line : 1;
+  this->Found.Lines.push_back(this->File + ":" + std::to_string(Line) + ": " +
+                              this->Path + "." + Key + ": expected " +
+                              Expected);
+}
+
+void TomlReader::text(const char *Key, std::string &Target, bool Required) {
+  const toml::node *Node = this->find(Key);
+  if (!Node) {
+    if (Required)
+      this->problem(Key, "a text (the key is missing)");
+    return;
+  }
+  const auto Value = Node->value_exact<std::string>();
+  if (Value && !(Required && Value->empty()))
+    Target = *Value;
+  else
+    this->problem(Key, Required ? "a text that is not empty" : "a text");
+}
+
+void TomlReader::texts(const char *Key, std::vector<std::string> &Target) {
+  const toml::node *Node = this->find(Key);
+  if (!Node)
+    return;
+  const toml::array *List = Node->as_array();
+  if (!List) {
+    this->problem(Key, "a list of texts");
+    return;
+  }
+  for (const toml::node &Item : *List) {
+    const auto Value = Item.value_exact<std::string>();
+    if (!Value) {
+      this->problem(Key, "a list of texts only");
+      return;
+    }
+    Target.push_back(*Value);
+  }
+}
+
+void TomlReader::count(const char *Key, std::uint64_t &Target,
+                       std::uint64_t Least) {
+  const toml::node *Node = this->find(Key);
+  if (!Node)
+    return;
+  const auto Value = Node->value_exact<std::int64_t>();
+  if (Value && *Value >= 0 && static_cast<std::uint64_t>(*Value) >= Least)
+    Target = static_cast<std::uint64_t>(*Value);
+  else
+    this->problem(Key, "a whole number of at least " + std::to_string(Least));
+}
+
+void TomlReader::milliseconds(const char *Key,
+                              std::chrono::milliseconds &Target) {
+  std::uint64_t Value = static_cast<std::uint64_t>(Target.count());
+  this->count(Key, Value, 1);
+  Target = std::chrono::milliseconds(Value);
+}
+
+void TomlReader::flag(const char *Key, bool &Target) {
+  const toml::node *Node = this->find(Key);
+  if (!Node)
+    return;
+  const auto Value = Node->value_exact<bool>();
+  if (Value)
+    Target = *Value;
+  else
+    this->problem(Key, "true or false");
+}
+
+void TomlReader::refuseUnknown() {
+  if (!this->Table)
+    return;
+  for (const auto &[Key, Node] : *this->Table) {
+    const std::string Name(Key.str());
+    if (!this->Known.count(Name))
+      this->Found.Lines.push_back(
+          this->File + ":" + std::to_string(Node.source().begin.line) + ": " +
+          this->Path + "." + Name + ": expected no such key");
+  }
+}
+
+} // namespace rr
--- /dev/null
+++ b/src/libs/settings/tst_SettingsFile.cpp
@@ -0,0 +1,55 @@
+#include "settings/SettingsFile.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rr;
+
+namespace {
+
+const char *const Good = R"(
+[instance]
+name = "i1"
+zone = "a1"
+caller_listen = "127.0.0.1:8080"
+peer_listen = "127.0.0.1:8081"
+admin_listen = "127.0.0.1:8082"
+[platform]
+url = "http://127.0.0.1:9000"
+[peers]
+secret = "0123456789abcdef"
+)";
+
+} // namespace
+
+TEST_CASE("Defaults fill what a settings file leaves out") {
+  Diagnostics Found;
+  const auto Result = parseSettings(Good, "f.toml", Found);
+  REQUIRE(Result);
+  CHECK(Result->PlatformTimeout == std::chrono::milliseconds(1000));
+  CHECK(Result->AdvertisedCallerAddress == "127.0.0.1:8080");
+}
+
+// Guards against a report that stops at the first mistake or does not say
+// where it is.
+TEST_CASE("Every mistake is reported with file, line, key and expectation") {
+  Diagnostics Found;
+  const std::string Text = std::string(Good) + R"(
+[callers]
+lookup_max_age_ms = "soon"
+colour = 1
+[unknown]
+)";
+  CHECK_FALSE(parseSettings(Text, "f.toml", Found));
+  REQUIRE(Found.Lines.size() == 3);
+  CHECK(Found.Lines[0] == "f.toml:14: callers.lookup_max_age_ms: expected a "
+                          "whole number of at least 1");
+  CHECK(Found.Lines[1] == "f.toml:15: callers.colour: expected no such key");
+  CHECK(Found.Lines[2] == "f.toml:16: unknown: expected no such key");
+}
+
+// Guards against text that is no TOML stopping the process.
+TEST_CASE("Text that is no TOML is an error value with its line") {
+  Diagnostics Found;
+  CHECK_FALSE(parseSettings("a = [\n", "f.toml", Found));
+  CHECK(Found.Lines.size() == 1);
+}
