--- /dev/null
+++ b/src/libs/telemetry/Metric.h
@@ -0,0 +1,15 @@
+#ifndef REDWINGRACK_TELEMETRY_METRIC_H
+#define REDWINGRACK_TELEMETRY_METRIC_H
+
+namespace rr {
+
+/// The metrics that docs/metrics.md lists.
+enum class Metric {
+#define METRIC(KIND, IDENTIFIER, NAME, LABELS, HELP) IDENTIFIER,
+#include "telemetry/Metrics.def"
+#undef METRIC
+};
+
+} // namespace rr
+
+#endif // REDWINGRACK_TELEMETRY_METRIC_H
--- /dev/null
+++ b/src/libs/telemetry/Span.h
@@ -0,0 +1,27 @@
+#ifndef REDWINGRACK_TELEMETRY_SPAN_H
+#define REDWINGRACK_TELEMETRY_SPAN_H
+
+#include "base/Clock.h"
+#include "telemetry/TraceContext.h"
+
+#include <map>
+#include <string>
+
+namespace rr {
+
+/// One timed hop of a request.
+struct Span {
+  std::string Name;
+  TraceContext Context;
+  /// Empty for the first span of a trace.
+  std::string ParentSpanId;
+  Clock::time_point Start;
+  Clock::time_point End;
+  /// Never holds a caller's key.
+  std::map<std::string, std::string> Attributes;
+  bool Failed = false;
+};
+
+} // namespace rr
+
+#endif // REDWINGRACK_TELEMETRY_SPAN_H
