Add the request path from key check to one attempt at a backend server

Cause: a keyed request has to reach a backend server without its key, and a refusal has to be truthful.

--- /dev/null
+++ b/src/features/forwarding/HeaderRules.cpp
@@ -0,0 +1,82 @@
+#include "forwarding/HeaderRules.h"
+
+#include <algorithm>
+#include <array>
+#include <sstream>
+
+namespace rr {
+
+namespace {
+
+constexpr std::array ToServer = {
+    "Accept",           "Accept-Charset",      "Accept-Encoding",
+    "Accept-Language",  "Cache-Control",       "Content-Encoding",
+    "Content-Language", "Content-Type",        "Idempotency-Key",
+    "If-Match",         "If-Modified-Since",   "If-None-Match",
+    "If-Range",         "If-Unmodified-Since", "Range",
+    "User-Agent",       "X-Request-Id"};
+
+constexpr std::array HopByHop = {
+    "Connection",        "Keep-Alive", "Proxy-Authenticate",
+    "Proxy-Connection",  "Trailer",    "TE",
+    "Transfer-Encoding", "Upgrade",    "Content-Length"};
+
+template <typename List>
+bool listed(const List &Names, const std::string &Name) {
+  return std::any_of(Names.begin(), Names.end(), [&](const char *Item) {
+    return equalIgnoreCase(Item, Name);
+  });
+}
+
+// Names in a Connection field belong to that connection only.
+std::vector<std::string> connectionOptions(const HttpHeaders &Headers) {
+  std::vector<std::string> Result;
+  const std::string *Options = findHeader(Headers, "Connection");
+  std::istringstream Text(Options ? *Options : "");
+  for (std::string Name; std::getline(Text, Name, ',');) {
+    Name.erase(0, Name.find_first_not_of(' '));
+    Name.erase(Name.find_last_not_of(' ') + 1);
+    Result.push_back(Name);
+  }
+  return Result;
+}
+
+bool namedBy(const std::vector<std::string> &Names, const std::string &Name) {
+  return std::any_of(Names.begin(), Names.end(), [&](const std::string &Item) {
+    return equalIgnoreCase(Item, Name);
+  });
+}
+
+} // namespace
+
+HttpHeaders headersForServer(const HttpHeaders &FromCaller) {
+  HttpHeaders Result;
+  const auto Options = connectionOptions(FromCaller);
+  for (const HttpHeader &Field : FromCaller)
+    if (listed(ToServer, Field.Name) && !namedBy(Options, Field.Name))
+      Result.push_back(Field);
+  return Result;
+}
+
+HttpHeaders headersForCaller(const HttpHeaders &FromServer) {
+  HttpHeaders Result;
+  const auto Options = connectionOptions(FromServer);
+  for (const HttpHeader &Field : FromServer)
+    if (!listed(HopByHop, Field.Name) && !namedBy(Options, Field.Name))
+      Result.push_back(Field);
+  return Result;
+}
+
+std::string bearerKey(const HttpHeaders &FromCaller) {
+  static const std::string Scheme = "Bearer ";
+  const std::string *Field = findHeader(FromCaller, "Authorization");
+  if (!Field || Field->size() <= Scheme.size() ||
+      !equalIgnoreCase(Field->substr(0, Scheme.size()), Scheme))
+    return {};
+  std::string Key = Field->substr(Scheme.size());
+  Key.erase(0, Key.find_first_not_of(' '));
+  Key.erase(Key.find_last_not_of(' ') + 1);
+  return Key;
+}
+
+} // namespace rr
--- /dev/null
+++ b/src/features/forwarding/KeyScrubber.h
@@ -0,0 +1,36 @@
+#ifndef REDWINGRACK_FORWARDING_KEYSCRUBBER_H
+#define REDWINGRACK_FORWARDING_KEYSCRUBBER_H
+
+#include "base/HttpHeader.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace rr {
+
+/// Keeps callers' keys away from backend servers.
+struct KeyScrubber {
+  /// Whether a text is a key that was ever issued.
+  std::function<bool(const std::string &Text)> IsKey;
+};
+
+/// The query without parameters whose name is that of a credential or whose
+/// value, decoded or not, is a key or holds \p Presented.
+std::string queryForServer(const KeyScrubber &Scrubber,
+                           const std::string &Query,
+                           const std::string &Presented);
+
+/// Whether any path segment or the body holds \p Presented, or a path segment
+/// or header value is a key. Such a request cannot be passed on unchanged and
+/// is refused.
+bool carriesKey(const KeyScrubber &Scrubber, const std::string &Path,
+                const HttpHeaders &Headers, const std::string &Body,
+                const std::string &Presented);
+
+/// Decodes percent escapes; malformed ones stay as they are.
+std::string decodePercent(const std::string &Text);
+
+} // namespace rr
+
+#endif // REDWINGRACK_FORWARDING_KEYSCRUBBER_H
--- /dev/null
+++ b/src/features/forwarding/ServerAttempt.h
@@ -0,0 +1,23 @@
+#ifndef REDWINGRACK_FORWARDING_SERVERATTEMPT_H
+#define REDWINGRACK_FORWARDING_SERVERATTEMPT_H
+
+#include "forwarding/DispatchRequest.h"
+#include "forwarding/DispatchResult.h"
+
+#include <asio/awaitable.hpp>
+
+namespace rr {
+
+class HttpClient;
+class SpanExporter;
+struct BackendServer;
+
+/// Sends a request to one backend server once and says what is certain about
+/// it. \p Spans may be null.
+asio::awaitable<DispatchResult>
+attemptAt(HttpClient &Client, SpanExporter *Spans, BackendServer Server,
+          DispatchRequest Request, std::size_t LargestAnswer);
+
+} // namespace rr
+
+#endif // REDWINGRACK_FORWARDING_SERVERATTEMPT_H
