--- a/src/libs/logging/EventLog.cpp
+++ b/src/libs/logging/EventLog.cpp
@@ -30,6 +30,8 @@
 #undef EVENT
 };
 
+// Events of a process that started no log, such as a test, go nowhere.
+bool Started = false;
 bool WriteJson = false;
 
 const EventInfo &infoOf(Event Number) {
@@ -110,6 +112,7 @@
 void startEventLog(const EventLogSettings &Settings) {
   static log4cplus::Initializer Library;
   WriteJson = Settings.Json;
+  Started = true;
   log4cplus::SharedAppenderPtr Console(
       new log4cplus::ConsoleAppender(true, true));
   const char *const Pattern =
@@ -122,6 +125,8 @@
 }
 
 void logEvent(Event Number, const std::vector<EventField> &Fields) {
+  if (!Started)
+    return;
   const EventInfo &Info = infoOf(Number);
   auto Root = log4cplus::Logger::getRoot();
   const auto Level = libraryLevel(Info.Level);
