--- /dev/null
+++ b/src/app/AdminCall.h
@@ -0,0 +1,22 @@
+#ifndef REDWINGRACK_APP_ADMINCALL_H
+#define REDWINGRACK_APP_ADMINCALL_H
+
+#include "app/CommandLine.h"
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <string>
+
+namespace rr {
+
+/// Calls the administration API. Prints an error and returns nothing when the
+/// call failed or was refused.
+std::optional<nlohmann::json> callAdmin(const Arguments &Given,
+                                        const std::string &Method,
+                                        const std::string &Path,
+                                        const std::string &Body = "");
+
+} // namespace rr
+
+#endif // REDWINGRACK_APP_ADMINCALL_H
--- /dev/null
+++ b/src/app/CommandLine.cpp
@@ -0,0 +1,90 @@
+#include "app/CommandLine.h"
+
+#include <charconv>
+#include <iostream>
+
+namespace rr {
+
+const char *const UsageText =
+    R"(redwingrack: global traffic steering for teams that share it.
+
+Usage:
+  redwingrack serve --config=FILE
+  redwingrack check-config FILE [--json]
+  redwingrack lookup ADDRESS [--instance=ADDR] [--json]
+  redwingrack plan load-config FILE [options]
+  redwingrack plan take-on WORKSPACE --rate=N --burst=N --region=NAME... [options]
+  redwingrack plan set-rate WORKSPACE --rate=N --burst=N [options]
+  redwingrack plan shift WORKSPACE --to=REGION --share=N --by=TIME [--from=REGION] [--cap=N] [--steps=N] [--at-deadline=WHAT] [options]
+  redwingrack plan drain SERVER [--undo] [options]
+  redwingrack plan rollout SERVICE --version-name=NAME --by=TIME [--soak-s=N] [--at-deadline=WHAT] [options]
+  redwingrack plan issue-key WORKSPACE [--key=KEY] [options]
+  redwingrack plan withdraw-key KEY [options]
+  redwingrack plan declare-lost INSTANCE [options]
+  redwingrack show [PLAN] [options]
+  redwingrack confirm PLAN [options]
+  redwingrack take-back PLAN [options]
+  redwingrack watch PLAN [--for-s=N] [options]
+  redwingrack status [options]
+  redwingrack fleet [options]
+  redwingrack audit [options]
+  redwingrack key-report KEY [options]
+  redwingrack events
+  redwingrack metrics
+  redwingrack --help
+  redwingrack --version
+
+Commands that plan something change nothing before the plan is confirmed.
+
+Options:
+  --admin=ADDR         Administration address IP:PORT of any instance
+                       (default: REDWINGRACK_ADMIN or 127.0.0.1:8082)
+  --token-file=FILE    File with the operator's token
+                       (default: the token in REDWINGRACK_TOKEN)
+  --instance=ADDR      Caller address IP:PORT of any instance
+                       (default: REDWINGRACK_INSTANCE or 127.0.0.1:8080)
+  --json               Print results as JSON
+  --config=FILE        Settings of the instance
+  --rate=N             Requests per second over the whole fleet
+  --burst=N            Requests that may come at once
+  --region=NAME        Region where the workspace's callers are
+  --to=REGION          Region that takes the traffic
+  --from=REGION        Region where the traffic enters; all without it
+  --share=N            Share of the traffic, 0 to 1
+  --cap=N              Share that is never exceeded (default: --share)
+  --steps=N            Number of steps (default: 4)
+  --by=TIME            Time such as 2026-12-04T12:00:00Z, or +600s from now
+  --at-deadline=WHAT   take_back or stop (default: take_back)
+  --version-name=NAME  Version that the service moves to
+  --soak-s=N           Seconds that it is watched at 100%
+  --undo               Let the server take work again
+  --key=KEY            Key to issue; a new one is made without it
+  --for-s=N            Seconds to watch at most (default: 600)
+)";
+
+std::string optionText(const Arguments &Given, const std::string &Name,
+                       const std::string &Default) {
+  const auto Found = Given.find(Name);
+  if (Found == Given.end() || !Found->second.isString())
+    return Default;
+  return Found->second.asString();
+}
+
+bool isGiven(const Arguments &Given, const std::string &Name) {
+  const auto Found = Given.find(Name);
+  return Found != Given.end() && Found->second.isBool() &&
+         Found->second.asBool();
+}
+
+bool optionNumber(const Arguments &Given, const std::string &Name,
+                  double &Value) {
+  const std::string Text = optionText(Given, Name);
+  const char *const End = Text.data() + Text.size();
+  const auto Read = std::from_chars(Text.data(), End, Value);
+  if (Read.ec == std::errc() && Read.ptr == End)
+    return true;
+  std::cerr << Name << ": expected a number, not \"" << Text << "\"\n";
+  return false;
+}
+
+} // namespace rr
