--- a/src/app/AdminCall.cpp
+++ b/src/app/AdminCall.cpp
@@ -26,8 +26,9 @@
 }
 
 void printRefusal(const nlohmann::json &Reply, int Status) {
-  std::cerr << "refused (" << Status << "): "
-            << (Reply.is_object() ? Reply.value("detail", "") : "") << "\n";
+  std::cerr << "refused (" << Status
+            << "): " << (Reply.is_object() ? Reply.value("detail", "") : "")
+            << "\n";
   if (!Reply.is_object() || !Reply.contains("problems"))
     return;
   for (const nlohmann::json &Line : Reply["problems"])
@@ -49,8 +50,8 @@
                 {"Content-Type", "application/json"}},
                Body);
   if (!Reply) {
-    std::cerr << "no answer from " << Address << ": "
-              << Reply.error().message() << "\n";
+    std::cerr << "no answer from " << Address << ": " << Reply.error().message()
+              << "\n";
     return std::nullopt;
   }
   nlohmann::json Value = nlohmann::json::parse(Reply->Body, nullptr, false);
--- a/src/app/IntentCommands.cpp
+++ b/src/app/IntentCommands.cpp
@@ -71,16 +71,16 @@
               {"cap", Cap},
               {"steps", static_cast<std::uint64_t>(std::max(1.0, Steps))},
               {"deadline", deadlineOf(Given)},
-              {"at_deadline",
-               optionText(Given, "--at-deadline", "take_back")}};
+              {"at_deadline", optionText(Given, "--at-deadline", "take_back")}};
 }
 
 MaybeJson rollout(const Arguments &Given) {
-  json Intent = {{"kind", "roll_out_version"},
-                 {"service", optionText(Given, "SERVICE")},
-                 {"version", optionText(Given, "--version-name")},
-                 {"deadline", deadlineOf(Given)},
-                 {"at_deadline", optionText(Given, "--at-deadline", "take_back")}};
+  json Intent = {
+      {"kind", "roll_out_version"},
+      {"service", optionText(Given, "SERVICE")},
+      {"version", optionText(Given, "--version-name")},
+      {"deadline", deadlineOf(Given)},
+      {"at_deadline", optionText(Given, "--at-deadline", "take_back")}};
   double Soak = 0;
   if (Given.at("--soak-s")) {
     if (!optionNumber(Given, "--soak-s", Soak))
@@ -108,10 +108,10 @@
   std::ostringstream Text;
   Text << Input.rdbuf();
   std::vector<std::string> Problems;
-  const bool IsJson = File.size() > 5 && File.substr(File.size() - 5) == ".json";
-  const auto Config = IsJson
-                          ? parseFleetConfig(Text.str(), Problems)
-                          : parseFleetToml(Text.str(), File, Problems);
+  const bool IsJson =
+      File.size() > 5 && File.substr(File.size() - 5) == ".json";
+  const auto Config = IsJson ? parseFleetConfig(Text.str(), Problems)
+                             : parseFleetToml(Text.str(), File, Problems);
   for (const std::string &Problem : Problems)
     std::cerr << Problem << "\n";
   if (!Config)
--- a/src/app/OtherCommands.cpp
+++ b/src/app/OtherCommands.cpp
@@ -81,8 +81,8 @@
       "GET", "http://" + Address + "/.redwingrack/lookup?address=" + Client, {},
       "");
   if (!Reply) {
-    std::cerr << "no answer from " << Address << ": "
-              << Reply.error().message() << "\n";
+    std::cerr << "no answer from " << Address << ": " << Reply.error().message()
+              << "\n";
     return ExitFailure;
   }
   const json Value = json::parse(Reply->Body, nullptr, false);
--- a/src/app/PlanCommands.cpp
+++ b/src/app/PlanCommands.cpp
@@ -120,8 +120,8 @@
   double Seconds = DefaultWatchSeconds;
   if (Given.at("--for-s") && !optionNumber(Given, "--for-s", Seconds))
     return ExitWrongUsage;
-  const auto End = std::chrono::steady_clock::now() +
-                   std::chrono::duration<double>(Seconds);
+  const auto End =
+      std::chrono::steady_clock::now() + std::chrono::duration<double>(Seconds);
   std::string LastLine;
   while (std::chrono::steady_clock::now() < End) {
     const auto Plan =
--- a/src/features/forwarding/DispatchRequest.h
+++ b/src/features/forwarding/DispatchRequest.h
@@ -6,6 +6,7 @@
 #include "base/HttpHeader.h"
 #include "telemetry/TraceContext.h"
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,11 @@
   std::vector<std::string> TriedServers;
   /// Identifies the request for the crash guard.
   std::string Fingerprint;
+  /// The request may run a second time.
+  bool MayRetry = false;
+  /// Asked again when the request leaves a queue: false when its key was
+  /// withdrawn meanwhile or cannot be confirmed. Empty when there is none.
+  std::function<bool()> MayStillRun;
   CancellationPtr Cancel;
 };
 
