--- /dev/null
+++ b/src/features/configuration/ConfigCopy.h
@@ -0,0 +1,23 @@
+#ifndef REDWINGRACK_CONFIGURATION_CONFIGCOPY_H
+#define REDWINGRACK_CONFIGURATION_CONFIGCOPY_H
+
+#include "model/FleetConfig.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace rr {
+
+/// A configuration as accepted by the store, with the text that its hash
+/// belongs to.
+struct ConfigCopy {
+  std::uint64_t Version = 0;
+  std::string Hash;
+  std::shared_ptr<const std::string> Text;
+  std::shared_ptr<const FleetConfig> Config;
+};
+
+} // namespace rr
+
+#endif // REDWINGRACK_CONFIGURATION_CONFIGCOPY_H
