Add share ledger, balancer, allocator and fair queue

Cause: a workspace's rate and burst have to hold over all instances without a store call for each request. Change: token bucket in whole micro-requests, ledger with epochs, transfers and borrowing, balancer, allocator, message encoding and fair queue, without input or output of their own; tests of bucket and ledger.

--- /dev/null
+++ b/src/features/limits/SeenTransfers.h
@@ -0,0 +1,32 @@
+#ifndef REDWINGRACK_LIMITS_SEENTRANSFERS_H
+#define REDWINGRACK_LIMITS_SEENTRANSFERS_H
+
+#include "limits/ShareHolder.h"
+
+#include <map>
+#include <set>
+
+namespace rr {
+
+/// Remembers which grants were received, in bounded memory. A grant that is
+/// too old to be told from a duplicate counts as seen: it is lost rather than
+/// added twice.
+class SeenTransfers {
+public:
+  /// True exactly once for every pair of giver and sequence.
+  bool isFirst(const ShareHolder &Giver, std::uint64_t Sequence);
+  void clear() { this->Givers.clear(); }
+
+private:
+  struct Window {
+    /// Every sequence up to this one counts as seen.
+    std::uint64_t Floor = 0;
+    std::set<std::uint64_t> Above;
+  };
+
+  std::map<ShareHolder, Window> Givers;
+};
+
+} // namespace rr
+
+#endif // REDWINGRACK_LIMITS_SEENTRANSFERS_H
--- /dev/null
+++ b/src/features/limits/ShareAllocator.cpp
@@ -0,0 +1,192 @@
+#include "limits/ShareAllocator.h"
+
+#include "limits/Apportion.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace rr {
+
+namespace {
+
+const WorkspaceDemand *findDemand(const AllocationMember &Member,
+                                  const std::string &Workspace) {
+  if (!Member.Report)
+    return nullptr;
+  for (const WorkspaceDemand &Item : Member.Report->Workspaces)
+    if (Item.Workspace == Workspace)
+      return &Item;
+  return nullptr;
+}
+
+/// What a member keeps before the free part is divided.
+ShareAmount baseOf(const ShareAllocation *Previous,
+                   const AllocationMember &Member,
+                   const std::string &Workspace) {
+  if (const WorkspaceDemand *Demand = findDemand(Member, Workspace))
+    return {std::clamp<MicroRequests>(Demand->Held.Rate, 0, MaxAmount),
+            std::clamp<MicroRequests>(Demand->Held.Burst, 0, MaxAmount), 0};
+  if (Previous && !Member.Report)
+    return shareOf(*Previous, Workspace, Member.Holder);
+  return {};
+}
+
+MicroRequests sumOf(const std::vector<ShareAmount> &Shares,
+                    MicroRequests ShareAmount::*Part) {
+  return std::accumulate(Shares.begin(), Shares.end(), MicroRequests{0},
+                         [Part](MicroRequests Sum, const ShareAmount &Share) {
+                           return Sum + Share.*Part;
+                         });
+}
+
+/// Cuts one part of the shares to \p Limit, in proportion.
+void cutTo(std::vector<ShareAmount> &Shares, MicroRequests ShareAmount::*Part,
+           MicroRequests Limit, MicroRequests Grain) {
+  if (sumOf(Shares, Part) <= Limit)
+    return;
+  std::vector<double> Weights;
+  for (const ShareAmount &Share : Shares)
+    Weights.push_back(double(Share.*Part));
+  const auto Parts = apportion(Limit, Weights, Grain);
+  // Nobody is raised by the rounding of a cut: an increase waits for the
+  // barrier, and the cut takes effect at once.
+  for (std::size_t I = 0; I < Shares.size(); ++I)
+    Shares[I].*Part = std::min(Shares[I].*Part, Parts[I]);
+}
+
+WorkspaceAllocation divide(const ShareAllocation *Previous,
+                           const std::string &Workspace,
+                           const ShareAmount &Total,
+                           const std::vector<AllocationMember> &Members) {
+  WorkspaceAllocation Result;
+  Result.Total = {Total.Rate, Total.Burst, 0};
+  if (Members.empty())
+    return Result;
+  std::vector<ShareAmount> Shares;
+  std::vector<MicroRequests> Demands;
+  for (const AllocationMember &Member : Members) {
+    Shares.push_back(baseOf(Previous, Member, Workspace));
+    const WorkspaceDemand *Demand = findDemand(Member, Workspace);
+    Demands.push_back(Demand ? std::max<MicroRequests>(Demand->Demand, 0) : 0);
+  }
+  cutTo(Shares, &ShareAmount::Rate, Total.Rate, 1);
+  cutTo(Shares, &ShareAmount::Burst, Total.Burst, OneRequest);
+  const ShareAmount Free = {Total.Rate - sumOf(Shares, &ShareAmount::Rate),
+                            Total.Burst - sumOf(Shares, &ShareAmount::Burst),
+                            0};
+  const auto Added = divideAllowance(Free, demandWeights(Demands));
+  for (std::size_t I = 0; I < Members.size(); ++I) {
+    Shares[I].Rate += Added[I].Rate;
+    Shares[I].Burst += Added[I].Burst;
+    if (!Shares[I].isZero())
+      Result.Shares[Members[I].Holder] = Shares[I];
+  }
+  return Result;
+}
+
+bool sameAllowances(const ShareAllocation &Present,
+                    const std::map<std::string, ShareAmount> &Allowances) {
+  return std::equal(Present.Workspaces.begin(), Present.Workspaces.end(),
+                    Allowances.begin(), Allowances.end(),
+                    [](const auto &Row, const auto &Wanted) {
+                      return Row.first == Wanted.first &&
+                             Row.second.Total.Rate == Wanted.second.Rate &&
+                             Row.second.Total.Burst == Wanted.second.Burst;
+                    });
+}
+
+} // namespace
+
+void ShareAllocator::observe(const ShareAllocation &Present,
+                             Clock::time_point Now) {
+  if (this->Present && Present.Epoch <= this->Present->Epoch)
+    return;
+  this->Present = Present;
+  this->BarrierAt = Now + EpochBarrierTime;
+  this->LossSince.reset();
+}
+
+void ShareAllocator::confirmBarrier(std::uint64_t Epoch,
+                                    Clock::time_point Now) {
+  if (this->Present && this->Present->Epoch == Epoch)
+    this->BarrierAt = std::min(this->BarrierAt, Now);
+}
+
+bool ShareAllocator::hasLoss(const std::vector<AllocationMember> &Members,
+                             Clock::time_point Now) {
+  bool Missing = false;
+  for (const auto &[Name, Workspace] : this->Present->Workspaces) {
+    ShareAmount Sum;
+    for (const AllocationMember &Member : Members) {
+      // Only reports of this epoch tell what is held in it.
+      if (!Member.Report || Member.Report->Epoch != this->Present->Epoch)
+        return false;
+      if (const WorkspaceDemand *Demand = findDemand(Member, Name)) {
+        Sum.Rate += Demand->Held.Rate;
+        Sum.Burst += Demand->Held.Burst;
+      }
+    }
+    const auto IsShort = [](MicroRequests Has, MicroRequests Total) {
+      return double(Has) < (1 - LossPart) * double(Total);
+    };
+    Missing = Missing || IsShort(Sum.Rate, Workspace.Total.Rate) ||
+              IsShort(Sum.Burst, Workspace.Total.Burst);
+  }
+  if (!Missing)
+    this->LossSince.reset();
+  else if (!this->LossSince)
+    this->LossSince = Now;
+  return Missing && Now - *this->LossSince >= LossTime;
+}
+
+std::optional<AllocationReason>
+ShareAllocator::isDue(const std::map<std::string, ShareAmount> &Allowances,
+                      const std::vector<AllocationMember> &Members,
+                      Clock::time_point Now) {
+  if (!this->Present)
+    return AllocationReason::NoAllocation;
+  if (Now < this->BarrierAt)
+    return std::nullopt;
+  if (!sameAllowances(*this->Present, Allowances))
+    return AllocationReason::WorkspaceChanged;
+  std::set<ShareHolder> Living;
+  for (const AllocationMember &Member : Members)
+    Living.insert(Member.Holder);
+  if (!std::includes(Living.begin(), Living.end(),
+                     this->Present->Holders.begin(),
+                     this->Present->Holders.end()))
+    return AllocationReason::HolderGone;
+  if (Living.size() > this->Present->Holders.size())
+    return AllocationReason::HolderAdded;
+  if (this->hasLoss(Members, Now))
+    return AllocationReason::SharesLost;
+  return std::nullopt;
+}
+
+ShareAllocation
+makeAllocation(const ShareAllocation *Previous, std::uint64_t Fence,
+               const std::map<std::string, ShareAmount> &Allowances,
+               const std::vector<AllocationMember> &Members) {
+  ShareAllocation Result;
+  Result.Epoch = Previous ? Previous->Epoch + 1 : 1;
+  Result.Fence = Fence;
+  for (const AllocationMember &Member : Members)
+    Result.Holders.insert(Member.Holder);
+  for (const auto &[Name, Total] : Allowances)
+    Result.Workspaces[Name] = divide(Previous, Name, Total, Members);
+  return Result;
+}
+
+bool decreasesAcknowledged(const ShareAllocation &Previous, std::uint64_t Epoch,
+                           const std::map<ShareHolder, std::uint64_t> &Adopted,
+                           const std::set<ShareHolder> &Ended) {
+  return std::all_of(Previous.Holders.begin(), Previous.Holders.end(),
+                     [&](const ShareHolder &Holder) {
+                       const auto Found = Adopted.find(Holder);
+                       return Ended.contains(Holder) ||
+                              (Found != Adopted.end() &&
+                               Found->second >= Epoch);
+                     });
+}
+
+} // namespace rr
--- /dev/null
+++ b/src/features/limits/tst_ShareLedger.cpp
@@ -0,0 +1,247 @@
+#include "limits/ShareLedger.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rr;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Clock::time_point Start{};
+const ShareHolder A{"a", 1};
+const ShareHolder B{"b", 1};
+
+/// Epoch in which A has \p OfA requests of rate and burst, and B the rest of
+/// \p Total.
+ShareAllocation epochOf(std::uint64_t Epoch, int OfA, int Total = 10) {
+  ShareAllocation Result;
+  Result.Epoch = Epoch;
+  Result.Holders = {A, B};
+  const auto Amount = [](int Requests) {
+    return ShareAmount{Requests * OneRequest, Requests * OneRequest, 0};
+  };
+  Result.Workspaces["w"] = {Amount(Total),
+                            {{A, Amount(OfA)}, {B, Amount(Total - OfA)}}};
+  return Result;
+}
+
+/// Ledger that uses \p Allocation with a full bucket at Start + 20 s, and has
+/// a proof for three seconds from there.
+ShareLedger readyLedger(const ShareHolder &Self,
+                        const ShareAllocation &Allocation) {
+  ShareLedger Ledger(Self, Start);
+  REQUIRE(Ledger.adopt(Allocation, Start));
+  Ledger.confirmBarrier(Allocation.Epoch, Start);
+  Ledger.renewProof(Allocation.Epoch, Start + 23s, Start);
+  return Ledger;
+}
+
+int admitAll(ShareLedger &Ledger, Clock::time_point Now) {
+  int Admitted = 0;
+  while (Ledger.tryAdmit("w", Now))
+    ++Admitted;
+  return Admitted;
+}
+
+const Clock::time_point Ready = Start + 20s;
+
+ShareRelease releaseOf(MicroRequests Requests, MicroRequests Keep = 0) {
+  const MicroRequests Wanted = Requests * OneRequest;
+  return {A, B, 1, "w", {Wanted, Wanted, 0}, {Keep, Keep, 0}};
+}
+
+} // namespace
+
+// Guards against admissions by an instance that was cut off or paused.
+TEST_CASE("Shares are unusable without a freshness proof") {
+  ShareLedger Ledger = readyLedger(A, epochOf(1, 10));
+  const auto Late = Start + 23s;
+  CHECK(Ledger.tryAdmit("w", Late).error() == Errc::Stale);
+  CHECK(Ledger.release(releaseOf(1), Late).error() == Errc::Stale);
+  // A proof for an epoch that is not adopted proves nothing about the shares.
+  Ledger.renewProof(2, Late + 3s, Late);
+  CHECK(Ledger.tryAdmit("w", Late).error() == Errc::Stale);
+  Ledger.renewProof(1, Late + 3s, Late);
+  CHECK(admitAll(Ledger, Late) == 10);
+  CHECK(Ledger.tryAdmit("none", Late).error() == Errc::NotFound);
+}
+
+// Guards against a cut-off instance that accrues at a rate which a new epoch
+// has given to others.
+TEST_CASE("Nothing accrues while there is no proof") {
+  ShareLedger Ledger = readyLedger(A, epochOf(1, 10));
+  CHECK(admitAll(Ledger, Start + 23s - 1ns) == 10);
+  Ledger.renewProof(1, Start + 60s, Start + 50s);
+  CHECK(admitAll(Ledger, Start + 50s) == 0);
+  CHECK(admitAll(Ledger, Start + 51s) == 10);
+}
+
+// Guards against shares that two instances use at once because the sender
+// keeps them, or because a repeated message is added again.
+TEST_CASE("A transfer is subtracted first and added once") {
+  ShareLedger Giver = readyLedger(A, epochOf(1, 10));
+  ShareLedger Taker = readyLedger(B, epochOf(1, 10));
+  for (int I = 0; I < 5; ++I)
+    REQUIRE(Giver.tryAdmit("w", Ready));
+  const auto Grant = Giver.release(releaseOf(4), Ready);
+  REQUIRE(Grant);
+  CHECK(Grant->Amount ==
+        ShareAmount{4 * OneRequest, 4 * OneRequest, 2 * OneRequest});
+  CHECK(Taker.receive(*Grant, Ready) == GrantResult::Added);
+  CHECK(Taker.receive(*Grant, Ready) == GrantResult::Duplicate);
+  CHECK(admitAll(Giver, Ready) == 3);
+  CHECK(admitAll(Taker, Ready) == 2);
+  CHECK(admitAll(Giver, Ready + 1s) + admitAll(Taker, Ready + 1s) == 10);
+}
+
+// Guards against allowance that is spent twice: by an instance that forgot
+// what it received, or by one that is not listed for the next barrier.
+TEST_CASE("Grants reach only the run that the epoch lists") {
+  ShareLedger Giver = readyLedger(A, epochOf(1, 10));
+  const auto Grant = Giver.release(releaseOf(4), Ready);
+  REQUIRE(Grant);
+  ShareLedger Restarted = readyLedger({"b", 2}, epochOf(1, 10));
+  CHECK(Restarted.receive(*Grant, Ready) == GrantResult::NotAddressed);
+  CHECK(admitAll(Restarted, Ready) == 0);
+  ShareRelease Unlisted = releaseOf(1);
+  Unlisted.Receiver = {"c", 1};
+  CHECK(Giver.release(Unlisted, Ready).error() == Errc::NotFound);
+}
+
+// Guards against two relays that both move the same surplus.
+TEST_CASE("A repeated request leaves the giver its wanted share") {
+  ShareLedger Giver = readyLedger(A, epochOf(1, 10));
+  REQUIRE(Giver.release(releaseOf(4, 6 * OneRequest), Ready));
+  CHECK(Giver.release(releaseOf(4, 6 * OneRequest), Ready).error() ==
+        Errc::LimitReached);
+  CHECK(Giver.held("w", Ready).Rate == 6 * OneRequest);
+}
+
+// Guards against increases that are usable while another instance still uses
+// the same share under the old epoch.
+TEST_CASE("Decreases count at once and increases after the barrier") {
+  ShareLedger Loser = readyLedger(A, epochOf(1, 8));
+  ShareLedger Winner = readyLedger(B, epochOf(1, 8));
+  REQUIRE(Loser.adopt(epochOf(2, 3), Ready));
+  REQUIRE(Winner.adopt(epochOf(2, 3), Ready));
+  Loser.renewProof(2, Ready + 60s, Ready);
+  Winner.renewProof(2, Ready + 60s, Ready);
+  CHECK(Loser.held("w", Ready).Rate == 3 * OneRequest);
+  CHECK(Winner.held("w", Ready + 4s - 1ns).Rate == 2 * OneRequest);
+  CHECK(Winner.held("w", Ready + 4s).Rate == 7 * OneRequest);
+  CHECK(Winner.held("w", Ready + 4s).Burst == 7 * OneRequest);
+}
+
+// Guards against a rate change by configuration that raises one instance
+// before the others came down, and against a barrier of another epoch.
+TEST_CASE("A changed rate goes down first, then up") {
+  ShareLedger Ledger = readyLedger(A, epochOf(1, 5));
+  REQUIRE(Ledger.adopt(epochOf(2, 8, 8), Ready));
+  CHECK(Ledger.held("w", Ready).Rate == 5 * OneRequest);
+  Ledger.confirmBarrier(1, Ready);
+  CHECK(Ledger.held("w", Ready).Rate == 5 * OneRequest);
+  Ledger.confirmBarrier(2, Ready);
+  CHECK(Ledger.held("w", Ready).Rate == 8 * OneRequest);
+  REQUIRE(Ledger.adopt(epochOf(3, 2, 4), Ready));
+  CHECK(Ledger.held("w", Ready).Rate == 2 * OneRequest);
+}
+
+// Guards against transfers of a divided-up epoch that add to the new shares,
+// and against losing those of an epoch that was not adopted yet.
+TEST_CASE("Transfers count only in their own epoch") {
+  ShareLedger Giver = readyLedger(A, epochOf(1, 10));
+  ShareLedger Taker = readyLedger(B, epochOf(1, 10));
+  const auto Old = Giver.release(releaseOf(2), Ready);
+  REQUIRE(Giver.adopt(epochOf(2, 8), Ready));
+  Giver.renewProof(2, Ready + 3s, Ready);
+  ShareRelease Request = releaseOf(3);
+  CHECK(Giver.release(Request, Ready).error() == Errc::Stale);
+  Request.Epoch = 2;
+  const auto New = Giver.release(Request, Ready);
+  REQUIRE((Old && New));
+  CHECK(Taker.receive(*New, Ready) == GrantResult::NewerEpoch);
+  REQUIRE(Taker.adopt(epochOf(2, 8), Ready));
+  CHECK(Taker.receive(*Old, Ready) == GrantResult::OldEpoch);
+  CHECK(Taker.receive(*New, Ready) == GrantResult::Added);
+  CHECK(Taker.held("w", Ready).Rate == 3 * OneRequest);
+}
+
+// Guards against an instance that was paused across an epoch and brings back
+// tokens and shares that others used in the meantime.
+TEST_CASE("Nothing is kept across a skipped epoch") {
+  ShareLedger Ledger = readyLedger(A, epochOf(1, 10));
+  CHECK(Ledger.held("w", Ready).Tokens == 10 * OneRequest);
+  REQUIRE(Ledger.adopt(epochOf(3, 10), Ready + 60s));
+  Ledger.renewProof(3, Ready + 90s, Ready + 60s);
+  CHECK(Ledger.held("w", Ready + 63s).isZero());
+  CHECK(Ledger.held("w", Ready + 64s).Burst == 10 * OneRequest);
+  CHECK(admitAll(Ledger, Ready + 64s) == 0);
+}
+
+// Guards against a row that an old lease holder wrote, and a bad one.
+TEST_CASE("Old, fenced and oversubscribed epochs are not adopted") {
+  ShareLedger Ledger(A, Start);
+  ShareAllocation Row = epochOf(2, 5);
+  Row.Fence = 7;
+  REQUIRE(Ledger.adopt(Row, Start));
+  CHECK(Ledger.adopt(Row, Start).error() == Errc::Stale);
+  Row.Epoch = 3;
+  Row.Fence = 6;
+  CHECK(Ledger.adopt(Row, Start).error() == Errc::Stale);
+  Row.Fence = 7;
+  Row.Workspaces["w"].Shares[A].Burst += 1;
+  CHECK(Ledger.adopt(Row, Start).error() == Errc::Malformed);
+  CHECK(Ledger.epoch() == 2);
+}
+
+// Guards against small bursts that are refused because no instance ever has a
+// whole token: burst 5 in twelve equal parts, borrowed by one instance.
+TEST_CASE("Whole tokens gather at one instance by borrowing") {
+  ShareAllocation Row;
+  Row.Epoch = 1;
+  WorkspaceAllocation &Workspace = Row.Workspaces["w"];
+  Workspace.Total = {2 * OneRequest, 5 * OneRequest, 0};
+  std::vector<ShareLedger> Ledgers;
+  for (std::uint64_t I = 1; I <= 12; ++I) {
+    Row.Holders.insert({"i", I});
+    Workspace.Shares[{"i", I}] = {Workspace.Total.Rate / 12,
+                                  Workspace.Total.Burst / 12, 0};
+  }
+  for (std::uint64_t I = 1; I <= 12; ++I)
+    Ledgers.push_back(readyLedger({"i", I}, Row));
+  ShareLedger &Borrower = Ledgers.front();
+  CHECK(admitAll(Borrower, Ready) == 0);
+  for (std::size_t I = 1; I < 12; ++I) {
+    const BorrowRequest Request{
+        Borrower.self(), Ledgers[I].self(), 1, "w", 5 * OneRequest, 0};
+    const auto Grant = Ledgers[I].lend(Request, 0, false, Ready);
+    REQUIRE(Grant);
+    CHECK(Borrower.receive(*Grant, Ready) == GrantResult::Added);
+  }
+  CHECK(admitAll(Borrower, Ready) == 4);
+  CHECK(Borrower.held("w", Ready).Rate > 19 * OneRequest / 10);
+}
+
+// Guards against two instances that take each other's parts of a token for
+// ever, and a lender that gives away what it needs itself.
+TEST_CASE("A lender keeps its reserve, and of two gatherers one gives") {
+  ShareLedger Lender = readyLedger(A, epochOf(1, 10));
+  BorrowRequest Request{B, A, 1, "w", 10 * OneRequest, OneRequest / 2};
+  CHECK(Lender.lend(Request, 0, true, Ready)->Amount.isZero());
+  const auto Grant = Lender.lend(Request, 20 * OneRequest, false, Ready);
+  REQUIRE(Grant);
+  CHECK(Grant->Amount == ShareAmount{0, 8 * OneRequest, 8 * OneRequest});
+  Request.Gathered = 3 * OneRequest;
+  CHECK(Lender.lend(Request, 0, true, Ready)->Amount.Tokens == 2 * OneRequest);
+}
+
+// Guards against shares that leave with a stopped instance.
+TEST_CASE("A leaving instance gives everything to its peers") {
+  ShareLedger Leaving = readyLedger(A, epochOf(1, 4));
+  ShareLedger Peer = readyLedger(B, epochOf(1, 4));
+  const auto Grants = Leaving.surrender({A, B, {"c", 1}}, Ready);
+  REQUIRE(Grants.size() == 1);
+  CHECK(Peer.receive(Grants[0], Ready) == GrantResult::Added);
+  CHECK(admitAll(Leaving, Ready) == 0);
+  CHECK(admitAll(Peer, Ready) == 10);
+}
