Add peer link: authenticated calls and messages between instances

Cause: instances exchange heartbeats, summaries, shares and forwarded requests, and no transport existed. Change: src/libs/peerlink with PeerNode (links with back-off, calls with deadlines and cancellation, one-way messages, publication with one encoding, events, counters). websocketpp runs on its iostream transport in one C++17 file; sockets, timers and queues are this library's own, so refused and silent connections are told apart and tests run on the paused clock.

--- /dev/null
+++ b/src/libs/peerlink/CallTable.h
@@ -0,0 +1,66 @@
+#ifndef REDWINGRACK_PEERLINK_CALLTABLE_H
+#define REDWINGRACK_PEERLINK_CALLTABLE_H
+
+#include "base/Outcome.h"
+#include "base/Timer.h"
+#include "peerlink/Message.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace rr {
+
+class Link;
+
+/// Calls that wait for the answer of a peer, with their deadlines.
+class CallTable : public std::enable_shared_from_this<CallTable> {
+public:
+  using Handler = std::function<void(Outcome<Message>)>;
+
+  explicit CallTable(const asio::any_io_executor &Executor);
+
+  std::uint64_t nextId() { return ++this->LastId; }
+  /// \p Offset is the place of the call in the output of \p Carrier.
+  void add(std::uint64_t Id, const Link &Carrier, std::uint64_t Offset,
+           Clock::time_point Deadline, Handler Done);
+  /// Hands the result to the caller. False when no such call waits on
+  /// \p Carrier; it may have timed out.
+  bool finish(std::uint64_t Id, const Link &Carrier, Outcome<Message> Result);
+  /// Link that carries a waiting call; nullptr when the call is over.
+  const Link *carrierOf(std::uint64_t Id) const;
+  void fail(std::uint64_t Id, Errc Reason);
+  /// Ends the calls of a link that went down: Errc::Unavailable for those
+  /// that never left, Errc::ConnectionLost for the others.
+  void failLink(const Link &Carrier);
+  std::size_t countOn(const Link &Carrier) const;
+  void stop();
+
+private:
+  struct Pending {
+    const Link *Carrier;
+    std::uint64_t Offset;
+    Clock::time_point Deadline;
+    Handler Done;
+  };
+  using Calls = std::unordered_map<std::uint64_t, Pending>;
+
+  Handler take(Calls::iterator Found);
+  void schedule();
+  void expire();
+
+  Timer DeadlineTimer;
+  Clock::time_point Scheduled = Clock::time_point::max();
+  std::uint64_t LastId = 0;
+  Calls Open;
+  std::set<std::pair<Clock::time_point, std::uint64_t>> Deadlines;
+  std::map<const Link *, std::size_t> PerLink;
+};
+
+} // namespace rr
+
+#endif // REDWINGRACK_PEERLINK_CALLTABLE_H
--- /dev/null
+++ b/src/libs/peerlink/Link.h
@@ -0,0 +1,113 @@
+#ifndef REDWINGRACK_PEERLINK_LINK_H
+#define REDWINGRACK_PEERLINK_LINK_H
+
+#include "base/Timer.h"
+#include "peerlink/Handshake.h"
+#include "peerlink/LinkHost.h"
+#include "peerlink/WebSocketCodec.h"
+
+#include <array>
+#include <asio/ip/tcp.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace rr {
+
+/// One connection between two instances: socket, WebSocket codec, handshake,
+/// heartbeat and bounded send queue.
+class Link : public std::enable_shared_from_this<Link> {
+public:
+  enum class State { Handshaking, Up, Ended };
+
+  /// \p ExpectedName is the peer that a dialer wants to reach, and empty at
+  /// an acceptor.
+  Link(asio::ip::tcp::socket Socket, WebSocketCodec::Role Side,
+       std::shared_ptr<LinkHost> Host, std::string ExpectedName);
+  ~Link();
+
+  void start();
+  /// Ends the link and tells the other end why.
+  void end(LinkEnd Reason);
+  /// Ends the link once its calls are finished; new messages use another one.
+  void retire();
+
+  /// Queues an encoded envelope. Errc::TooLarge, Errc::LimitReached when a
+  /// queue is full, Errc::Unavailable when the link is not up.
+  Outcome<void> send(std::string_view Encoded);
+
+  State state() const { return this->Phase; }
+  bool isDialer() const { return this->Side == WebSocketCodec::Role::Dialer; }
+  bool wasUp() const { return this->Reached; }
+  bool isRetiring() const { return this->Retiring; }
+  const PeerIdentity &peer() const { return this->Auth.peer(); }
+  const std::string &expectedName() const { return this->ExpectedName; }
+  /// Unique among the links of the instance.
+  std::uint64_t serial() const { return this->Serial; }
+  std::optional<Clock::duration> roundTrip() const { return this->RoundTrip; }
+
+  /// Bytes queued so far, and the part of them that the operating system may
+  /// have taken.
+  std::uint64_t queuedTotal() const { return this->QueuedTotal; }
+  std::uint64_t offeredTotal() const { return this->OfferedTotal; }
+
+private:
+  WebSocketCodec::Handlers codecHandlers();
+  asio::awaitable<void> readLoop(std::shared_ptr<Link> Self);
+  asio::awaitable<void> watchLoop(std::shared_ptr<Link> Self);
+  asio::awaitable<void> linger();
+  asio::awaitable<void> waitUntil(Clock::time_point Time);
+  void checkHealth(Clock::time_point Now);
+  void sendPing(Clock::time_point Now);
+  Clock::time_point nextCheck() const;
+  void handleStatus(WebSocketCodec::Status Status);
+  void handlePayload(std::string Payload);
+  void handleHandshake(const std::string &Payload);
+  void becomeUp();
+  void queueOutput(const char *Data, std::size_t Size);
+  void takeWaiting();
+  void startWrite();
+  void finishWrite(const asio::error_code &Error, std::size_t Size);
+  std::size_t waitingBytes() const;
+  bool hasBacklog() const;
+  void closeSocket();
+
+  asio::ip::tcp::socket Socket;
+  WebSocketCodec::Role Side;
+  std::shared_ptr<LinkHost> Host;
+  std::string ExpectedName;
+  std::uint64_t Serial;
+  Handshake Auth;
+  WebSocketCodec Codec;
+  Timer Watch;
+  State Phase = State::Handshaking;
+  bool ChallengeRead = false;
+  bool Reached = false;
+  bool Retiring = false;
+
+  Clock::time_point Started;
+  Clock::time_point LastHeard;
+  Clock::time_point LastPing;
+  Clock::time_point RetiredAt;
+  std::uint64_t PingNumber = 0;
+  std::optional<Clock::duration> RoundTrip;
+
+  std::array<char, 16384> ReadBuffer{};
+  // Output that the socket is taking, how much of it was taken, and what
+  // follows it.
+  std::string Writing;
+  std::size_t Written = 0;
+  std::size_t Offered = 0;
+  std::string Waiting;
+  bool WriteActive = false;
+  // Nothing more is written: the link ended with messages in the queue, which
+  // were reported as not sent.
+  bool OutputDropped = false;
+  Clock::time_point WriteStarted;
+  std::uint64_t QueuedTotal = 0;
+  std::uint64_t OfferedTotal = 0;
+};
+
+} // namespace rr
+
+#endif // REDWINGRACK_PEERLINK_LINK_H
--- /dev/null
+++ b/src/libs/peerlink/LinkWatch.cpp
@@ -0,0 +1,78 @@
+#include "peerlink/Link.h"
+
+#include <algorithm>
+#include <asio/redirect_error.hpp>
+#include <asio/use_awaitable.hpp>
+#include <chrono>
+
+namespace rr {
+
+namespace {
+
+// Time for the other end to read the close frame before the socket is closed.
+constexpr Clock::duration LingerTime = std::chrono::milliseconds(500);
+// A retired link stays at least this long for messages already on their way.
+constexpr Clock::duration RetireTime = std::chrono::seconds(1);
+
+} // namespace
+
+asio::awaitable<void> Link::waitUntil(Clock::time_point Time) {
+  this->Watch.expires_at(Time);
+  asio::error_code Ignored;
+  co_await this->Watch.async_wait(
+      asio::redirect_error(asio::use_awaitable, Ignored));
+}
+
+Clock::time_point Link::nextCheck() const {
+  const PeerLimits &Limits = this->Host->Options.Limits;
+  if (this->Phase == State::Handshaking)
+    return this->Started + Limits.HandshakeTime;
+  auto Next = std::min(this->LastPing + Limits.HeartbeatPeriod,
+                       this->LastHeard + Limits.DeadAfter);
+  if (this->WriteActive)
+    Next = std::min(Next, this->WriteStarted + Limits.DeadAfter);
+  return Next;
+}
+
+asio::awaitable<void> Link::watchLoop(std::shared_ptr<Link> Self) {
+  while (this->Phase != State::Ended) {
+    co_await this->waitUntil(this->nextCheck());
+    if (this->Phase != State::Ended)
+      this->checkHealth(Clock::now());
+  }
+  co_await this->linger();
+}
+
+void Link::checkHealth(Clock::time_point Now) {
+  const PeerLimits &Limits = this->Host->Options.Limits;
+  if (this->Phase == State::Handshaking) {
+    if (Now >= this->Started + Limits.HandshakeTime)
+      this->end(LinkEnd::HandshakeTimeout);
+    return;
+  }
+  const bool Stalled =
+      this->WriteActive && Now >= this->WriteStarted + Limits.DeadAfter;
+  if (Stalled || Now >= this->LastHeard + Limits.DeadAfter)
+    return this->end(LinkEnd::Silent);
+  if (this->Retiring && Now >= this->RetiredAt + RetireTime &&
+      !this->Host->IsInUse(*this))
+    return this->end(LinkEnd::Duplicate);
+  if (Now >= this->LastPing + Limits.HeartbeatPeriod)
+    this->sendPing(Now);
+}
+
+void Link::sendPing(Clock::time_point Now) {
+  this->LastPing = Now;
+  this->Codec.ping(std::to_string(++this->PingNumber));
+}
+
+asio::awaitable<void> Link::linger() {
+  const auto Until = Clock::now() + LingerTime;
+  while (this->Socket.is_open() && Clock::now() < Until) {
+    this->startWrite();
+    co_await this->waitUntil(Until);
+  }
+  this->closeSocket();
+}
+
+} // namespace rr
--- /dev/null
+++ b/src/libs/peerlink/PeerCoroutines.cpp
@@ -0,0 +1,69 @@
+#include "peerlink/PeerCoroutines.h"
+
+#include "base/OneShotEvent.h"
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <exception>
+#include <memory>
+#include <utility>
+
+namespace rr {
+
+namespace {
+
+using CallCoroutine =
+    std::function<asio::awaitable<Outcome<Message>>(IncomingCall)>;
+
+struct PendingAnswer {
+  explicit PendingAnswer(const asio::any_io_executor &Executor)
+      : Arrived(Executor) {}
+  OneShotEvent Arrived;
+  Outcome<Message> Result = failure(Errc::Unknown);
+};
+
+asio::awaitable<void> answerCall(std::shared_ptr<CallCoroutine> Handler,
+                                 IncomingCall Call) {
+  const auto Answer = Call.Answer;
+  Outcome<Message> Result = co_await (*Handler)(std::move(Call));
+  Answer(std::move(Result));
+}
+
+} // namespace
+
+asio::awaitable<Outcome<Message>> callPeer(PeerNode &Node, std::string Peer,
+                                           Message Request,
+                                           Clock::time_point Deadline,
+                                           CancellationPtr Caller) {
+  const auto Waiting = std::make_shared<PendingAnswer>(Node.executor());
+  const std::uint64_t Id =
+      Node.call(Peer, Request, Deadline, [Waiting](Outcome<Message> Result) {
+        Waiting->Result = std::move(Result);
+        Waiting->Arrived.set();
+      });
+  if (Caller) {
+    // The node may be gone by the time that an old request is cancelled; it
+    // is not once the answer has arrived.
+    std::weak_ptr<PendingAnswer> Weak = Waiting;
+    Caller->onCancel([&Node, Id, Weak] {
+      const auto Open = Weak.lock();
+      if (Open && !Open->Arrived.isSet())
+        Node.cancelCall(Id);
+    });
+  }
+  co_await Waiting->Arrived.wait();
+  co_return std::move(Waiting->Result);
+}
+
+void onCallRun(PeerNode &Node, const std::string &Method,
+               CallCoroutine Handler) {
+  const auto Shared = std::make_shared<CallCoroutine>(std::move(Handler));
+  const auto Executor = Node.executor();
+  Node.onCall(Method, [Shared, Executor](IncomingCall Call) {
+    // A failed handler drops its copy of Answer, which ends the call.
+    asio::co_spawn(Executor, answerCall(Shared, std::move(Call)),
+                   [](const std::exception_ptr &) {});
+  });
+}
+
+} // namespace rr
--- /dev/null
+++ b/src/libs/peerlink/PeerNodeCalls.cpp
@@ -0,0 +1,212 @@
+#include "peerlink/PeerNodeState.h"
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <chrono>
+#include <utility>
+
+namespace rr {
+
+namespace {
+
+// Longest deadline that a caller may ask for; a bound on what is kept here.
+constexpr std::uint64_t LongestCallMilliseconds = 3'600'000;
+
+std::uint64_t millisecondsUntil(Clock::time_point Deadline) {
+  const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Deadline - Clock::now());
+  const auto Count = static_cast<std::uint64_t>(
+      std::max<std::chrono::milliseconds::rep>(Left.count(), 0));
+  return std::min(Count, LongestCallMilliseconds);
+}
+
+// Text of an answer without a method of its own.
+constexpr const char *AnswerMethod = "answer";
+
+bool isErrc(std::uint64_t Value) {
+  return Value >= 1 && Value <= static_cast<std::uint64_t>(Errc::Unknown);
+}
+
+Envelope answerEnvelope(std::uint64_t Id, Outcome<Message> Result) {
+  Envelope Reply;
+  Reply.What = Envelope::Kind::Answer;
+  Reply.Id = Id;
+  if (Result)
+    Reply.Content = std::move(*Result);
+  else if (Result.error().category() == errorCategory())
+    Reply.Number = static_cast<std::uint64_t>(Result.error().value());
+  else
+    Reply.Number = static_cast<std::uint64_t>(Errc::Unknown);
+  if (!isMethodName(Reply.Content.Method))
+    Reply.Content.Method = AnswerMethod;
+  return Reply;
+}
+
+// Calls back once, at the latest when the last copy of its handler goes.
+struct AnswerOnce {
+  std::function<void(Outcome<Message>)> Deliver;
+
+  void answer(Outcome<Message> Result) {
+    if (const auto Once = std::exchange(this->Deliver, nullptr))
+      Once(std::move(Result));
+  }
+  ~AnswerOnce() { this->answer(failure(Errc::Unknown)); }
+};
+
+} // namespace
+
+void PeerNode::State::failLater(AnswerHandler Done, Errc Reason) {
+  asio::post(this->Context,
+             [Done = std::move(Done), Reason] { Done(failure(Reason)); });
+}
+
+std::uint64_t PeerNode::State::call(const std::string &Peer,
+                                    const Message &Request,
+                                    Clock::time_point Deadline,
+                                    AnswerHandler Done) {
+  Link *Active = this->activeLink(Peer);
+  const auto Refuse = [&](Errc Reason) -> std::uint64_t {
+    this->failLater(std::move(Done), Reason);
+    return 0;
+  };
+  if (!isMethodName(Request.Method))
+    return Refuse(Errc::Malformed);
+  if (!Active || Deadline <= Clock::now())
+    return Refuse(Errc::Unavailable);
+  if (this->Calls->countOn(*Active) >= this->Host->Options.Limits.OpenCalls) {
+    ++this->Host->Counters.RefusedSends;
+    return Refuse(Errc::LimitReached);
+  }
+  Envelope Wrapped;
+  Wrapped.What = Envelope::Kind::Call;
+  Wrapped.Id = this->Calls->nextId();
+  Wrapped.Number = millisecondsUntil(Deadline);
+  Wrapped.Content = Request;
+  const std::uint64_t Offset = Active->queuedTotal();
+  const auto Sent = Active->send(encodeEnvelope(Wrapped));
+  if (!Sent)
+    return Refuse(static_cast<Errc>(Sent.error().value()));
+  this->Calls->add(Wrapped.Id, *Active, Offset, Deadline, std::move(Done));
+  return Wrapped.Id;
+}
+
+void PeerNode::State::cancelCall(std::uint64_t Call) {
+  const Link *Carrier = this->Calls->carrierOf(Call);
+  if (!Carrier)
+    return;
+  Envelope Notice;
+  Notice.What = Envelope::Kind::Cancel;
+  Notice.Id = Call;
+  Notice.Content.Method = "cancel";
+  const auto Found = this->Links.find(Carrier->serial());
+  if (Found != this->Links.end())
+    // Without this notice the peer finishes the call for nobody.
+    static_cast<void>(Found->second->send(encodeEnvelope(Notice)));
+  this->Calls->fail(Call, Errc::Cancelled);
+}
+
+void PeerNode::State::receive(Link &From, Envelope Received) {
+  switch (Received.What) {
+  case Envelope::Kind::OneWay:
+    return this->receiveMessage(From, std::move(Received));
+  case Envelope::Kind::Call:
+    return this->receiveCall(From, std::move(Received));
+  case Envelope::Kind::Answer:
+    return this->receiveAnswer(From, std::move(Received));
+  case Envelope::Kind::Cancel:
+    return this->receiveCancel(From, Received.Id);
+  }
+}
+
+void PeerNode::State::receiveMessage(Link &From, Envelope Received) {
+  const auto Found = this->OnMessage.find(Received.Content.Method);
+  if (Found == this->OnMessage.end()) {
+    ++this->Host->Counters.UnknownMethods;
+    return;
+  }
+  const MessageHandler Kept = Found->second;
+  Kept(From.peer().Name, std::move(Received.Content));
+}
+
+void PeerNode::State::receiveCall(Link &From, Envelope Received) {
+  const std::uint64_t Serial = From.serial();
+  const std::uint64_t Id = Received.Id;
+  OpenCalls &Open = this->Incoming[Serial];
+  if (Open.count(Id) > 0)
+    return From.end(LinkEnd::Malformed);
+  const auto Caller = std::make_shared<Cancellation>();
+  Open[Id] = Caller;
+  const auto Found = this->OnCall.find(Received.Content.Method);
+  if (Found == this->OnCall.end()) {
+    ++this->Host->Counters.UnknownMethods;
+    return this->answer(Serial, Id, failure(Errc::NotFound));
+  }
+  if (Open.size() > this->Host->Options.Limits.OpenCalls)
+    return this->answer(Serial, Id, failure(Errc::LimitReached));
+
+  const auto Once = std::make_shared<AnswerOnce>();
+  Once->Deliver = [Weak = this->weak_from_this(), Serial,
+                   Id](Outcome<Message> Result) {
+    if (const auto Self = Weak.lock())
+      Self->answer(Serial, Id, std::move(Result));
+  };
+  IncomingCall Call;
+  Call.Peer = From.peer().Name;
+  Call.Request = std::move(Received.Content);
+  Call.Deadline = Clock::now() + std::chrono::milliseconds(std::min(
+                                     Received.Number, LongestCallMilliseconds));
+  Call.Cancelled = Caller;
+  Call.Answer = [Once](Outcome<Message> Result) {
+    Once->answer(std::move(Result));
+  };
+  const CallHandler Kept = Found->second;
+  Kept(std::move(Call));
+}
+
+void PeerNode::State::answer(std::uint64_t Serial, std::uint64_t Id,
+                             Outcome<Message> Result) {
+  // The entry is gone when the link ended or the caller gave up.
+  const auto Open = this->Incoming.find(Serial);
+  if (Open == this->Incoming.end() || Open->second.erase(Id) == 0)
+    return;
+  if (Open->second.empty())
+    this->Incoming.erase(Open);
+  const auto Found = this->Links.find(Serial);
+  if (Found == this->Links.end())
+    return;
+  const auto Carrier = Found->second;
+  const Envelope Reply = answerEnvelope(Id, std::move(Result));
+  const auto Sent = Carrier->send(encodeEnvelope(Reply));
+  if (Sent || Sent.error() == Errc::Unavailable)
+    return;
+  // The answer does not fit; the caller learns that it ran.
+  const Envelope Short = answerEnvelope(Id, failure(Errc::Unknown));
+  static_cast<void>(Carrier->send(encodeEnvelope(Short)));
+}
+
+void PeerNode::State::receiveAnswer(Link &From, Envelope Received) {
+  if (Received.Number == 0) {
+    this->Calls->finish(Received.Id, From, std::move(Received.Content));
+    return;
+  }
+  if (!isErrc(Received.Number))
+    return From.end(LinkEnd::Malformed);
+  this->Calls->finish(Received.Id, From,
+                      failure(static_cast<Errc>(Received.Number)));
+}
+
+void PeerNode::State::receiveCancel(Link &From, std::uint64_t Id) {
+  const auto Open = this->Incoming.find(From.serial());
+  if (Open == this->Incoming.end())
+    return;
+  const auto Found = Open->second.find(Id);
+  if (Found == Open->second.end())
+    return;
+  const CancellationPtr Caller = Found->second;
+  Open->second.erase(Found);
+  if (Open->second.empty())
+    this->Incoming.erase(Open);
+  Caller->cancel();
+}
+
+} // namespace rr
--- /dev/null
+++ b/src/libs/peerlink/tst_PeerFaults.cpp
@@ -0,0 +1,237 @@
+#include "peerlink/Envelope.h"
+#include "peerlink/Handshake.h"
+#include "peerlink/MessageBody.h"
+#include "peerlink/PeerTestBed.h"
+#include "peerlink/WebSocketCodec.h"
+
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace rr;
+using namespace std::chrono_literals;
+using asio::ip::tcp;
+
+namespace {
+
+// A connection that speaks only what the test says.
+struct RawPeer {
+  explicit RawPeer(std::uint16_t Port) : Socket(Context) {
+    this->Socket.connect({asio::ip::address_v4::loopback(), Port});
+    this->Socket.non_blocking(true);
+  }
+
+  void write(const std::string &Bytes) {
+    asio::error_code Ignored;
+    asio::write(this->Socket, asio::buffer(Bytes), Ignored);
+  }
+  // Bytes that have arrived; notes when the other end closed.
+  std::string read() {
+    std::string Result(65536, '\0');
+    asio::error_code Error;
+    Result.resize(this->Socket.read_some(asio::buffer(Result), Error));
+    this->Closed = this->Closed || (Error && Error != asio::error::would_block);
+    return Result;
+  }
+  bool isClosed() {
+    this->read();
+    return this->Closed;
+  }
+
+  asio::io_context Context;
+  tcp::socket Socket;
+  bool Closed = false;
+};
+
+// A dialer with the WebSocket part of the protocol.
+struct SocketPeer {
+  explicit SocketPeer(std::uint16_t Port)
+      : Raw(Port),
+        Codec(WebSocketCodec::Role::Dialer, 1 << 20,
+              {[this](const char *Data, std::size_t Size) {
+                 this->Raw.write(std::string(Data, Size));
+               },
+               [] {}, [this](std::string Payload) { this->Received = Payload; },
+               [](const std::string &) {}}) {
+    this->Codec.start();
+  }
+  std::string received() {
+    const std::string Bytes = this->Raw.read();
+    this->Codec.feed(Bytes.data(), Bytes.size());
+    return this->Received;
+  }
+
+  RawPeer Raw;
+  std::string Received;
+  WebSocketCodec Codec;
+};
+
+// Accepts connections in the kernel and never says anything.
+struct SilentListener {
+  SilentListener() : Acceptor(Context, {asio::ip::address_v4::loopback(), 0}) {}
+  std::string address() {
+    return PeerTestBed::address(this->Acceptor.local_endpoint().port());
+  }
+  asio::io_context Context;
+  tcp::acceptor Acceptor;
+};
+
+} // namespace
+
+// Guards against callers without the secret, and against listeners without it.
+TEST_CASE("A wrong secret reaches nothing, in either direction") {
+  PeerTestBed Bed;
+  auto Options = PeerTestBed::options("b");
+  Options.SharedSecret = "other";
+  const auto A = Bed.node("a"), B = Bed.node(Options);
+  int Heard = 0;
+  B->onMessage("news", [&](const std::string &, const Message &) { ++Heard; });
+  REQUIRE(A->connect("b", PeerTestBed::address(B->port())));
+  CHECK(Bed.settle([&] { return B->counters().WrongSecrets == 1; }));
+  CHECK(Bed.settle([&] {
+    return Bed.saw(PeerEvent::Kind::HandshakeFailed, LinkEnd::WrongSecret);
+  }));
+  CHECK(A->send("b", {"news", ""}).error() == Errc::Unavailable);
+  CHECK_FALSE(Bed.saw(PeerEvent::Kind::LinkUp));
+  CHECK(Heard == 0);
+}
+
+// Guards against messages that are acted on before the hello.
+TEST_CASE("A message before the handshake drops the connection") {
+  PeerTestBed Bed;
+  const auto A = Bed.node("a");
+  int Heard = 0;
+  A->onMessage("news", [&](const std::string &, const Message &) { ++Heard; });
+  SocketPeer Stranger(A->port());
+  REQUIRE(Bed.settle([&] { return !Stranger.received().empty(); }));
+  Envelope News;
+  News.Content.Method = "news";
+  Stranger.Codec.sendBinary(encodeEnvelope(News));
+  CHECK(Bed.settle([&] { return A->counters().MalformedPeers == 1; }));
+  CHECK(Bed.settle([&] { return Stranger.Raw.isClosed(); }));
+  CHECK(Heard == 0);
+}
+
+// Guards against a replayed proof: it must depend on the acceptor's nonce.
+TEST_CASE("A recorded hello is of no use on another connection") {
+  Handshake Dialer(1, {"a", "z", "i"}, "secret");
+  Handshake First(1, {"b", "z", "j"}, "secret");
+  Handshake Second(1, {"b", "z", "j"}, "secret");
+  REQUIRE_FALSE(Dialer.readChallenge(First.challenge()));
+  const std::string Hello = Dialer.hello();
+  CHECK_FALSE(First.readHello(Hello));
+  CHECK(Second.readHello(Hello) == LinkEnd::WrongSecret);
+  CHECK_FALSE(Dialer.readWelcome(First.welcome()));
+  CHECK(Dialer.peer().Name == "b");
+}
+
+// Guards against instances of different protocol versions that talk on.
+TEST_CASE("A protocol mismatch is refused and counted") {
+  PeerTestBed Bed;
+  auto Options = PeerTestBed::options("b");
+  Options.Protocol = PeerOptions::CurrentProtocol + 1;
+  const auto A = Bed.node("a"), B = Bed.node(Options);
+  REQUIRE(A->connect("b", PeerTestBed::address(B->port())));
+  CHECK(Bed.settle([&] { return A->counters().ProtocolMismatches == 1; }));
+  CHECK(Bed.settle([&] { return B->counters().ProtocolMismatches == 1; }));
+  CHECK_FALSE(A->isLinked("b"));
+}
+
+// Guards against an address that belongs to another instance by now.
+TEST_CASE("An instance of another name is not taken for the peer") {
+  PeerTestBed Bed;
+  const auto A = Bed.node("a"), C = Bed.node("c");
+  REQUIRE(A->connect("b", PeerTestBed::address(C->port())));
+  CHECK(Bed.settle([&] {
+    return Bed.saw(PeerEvent::Kind::HandshakeFailed, LinkEnd::WrongName);
+  }));
+  CHECK_FALSE(A->isLinked("b"));
+}
+
+// Guards against input that crashes the process or holds a connection open.
+TEST_CASE("Garbage and silence end a connection; other links go on") {
+  PeerTestBed Bed;
+  const auto A = Bed.node("a"), B = Bed.node("b");
+  REQUIRE(Bed.link(*A, *B, "b"));
+  RawPeer Garbage(A->port()), Mute(A->port());
+  Garbage.write("\x16\x03\x01 garbage \xff\xfe\r\n\r\n");
+  CHECK(Bed.settle([&] { return Garbage.isClosed(); }));
+  CHECK(A->counters().MalformedPeers == 1);
+  Bed.advance(4s);
+  CHECK(Bed.settle([&] { return Mute.isClosed(); }));
+  CHECK(A->counters().HandshakeTimeouts == 1);
+  CHECK(A->isLinked("b"));
+}
+
+// Guards against a message above the limit that is buffered in full.
+TEST_CASE("An oversize message drops the peer that sent it") {
+  PeerTestBed Bed;
+  auto Small = PeerTestBed::options("b");
+  Small.Limits.MessageSize = 1000;
+  const auto A = Bed.node("a"), B = Bed.node(Small);
+  REQUIRE(Bed.link(*A, *B, "b"));
+  REQUIRE(A->send("b", {"news", std::string(2000, 'x')}));
+  CHECK(Bed.settle([&] { return B->counters().OversizeMessages == 1; }));
+  CHECK(Bed.settle(
+      [&] { return Bed.saw(PeerEvent::Kind::LinkDown, LinkEnd::Oversize); }));
+}
+
+// Guards against a listener that accepts and never answers being taken for an
+// ended process, or being waited for without end.
+TEST_CASE("A listener that never answers is not reported as refusing") {
+  PeerTestBed Bed;
+  const auto A = Bed.node("a");
+  SilentListener Silent;
+  REQUIRE(A->connect("b", Silent.address()));
+  Bed.advance(4s);
+  CHECK(Bed.saw(PeerEvent::Kind::HandshakeFailed, LinkEnd::HandshakeTimeout));
+  CHECK_FALSE(Bed.saw(PeerEvent::Kind::ConnectRefused));
+}
+
+// Guards against a half-open link that is kept: the connection stands, and the
+// other end says nothing more.
+TEST_CASE("A link is dropped after 3 s of silence, not before") {
+  PeerTestBed Bed;
+  const auto A = Bed.node("a");
+  SocketPeer Peer(A->port());
+  REQUIRE(Bed.settle([&] { return !Peer.received().empty(); }));
+  Handshake Auth(PeerOptions::CurrentProtocol, {"b", "z", "i"}, "secret");
+  REQUIRE_FALSE(Auth.readChallenge(Peer.Received));
+  Peer.Codec.sendBinary(Auth.hello());
+  REQUIRE(Bed.settle([&] { return A->isLinked("b"); }));
+  Bed.advance(2900ms);
+  CHECK(A->isLinked("b"));
+  Bed.advance(200ms);
+  CHECK_FALSE(A->isLinked("b"));
+  CHECK(Bed.saw(PeerEvent::Kind::LinkDown, LinkEnd::Silent));
+  CHECK(A->counters().SilentLinks == 1);
+}
+
+// Guards against heartbeats that stop: an idle link must live.
+TEST_CASE("An idle link between live instances stays up") {
+  PeerTestBed Bed;
+  const auto A = Bed.node("a"), B = Bed.node("b");
+  REQUIRE(Bed.link(*A, *B, "b"));
+  Bed.advance(30s);
+  CHECK(A->isLinked("b"));
+  CHECK(A->counters().LinksDown == 0);
+  CHECK(A->roundTrip("b").has_value());
+}
+
+// Guards against deep nesting, which overflows the stack of the parser, and
+// against sizes and texts that are not what they claim.
+TEST_CASE("Malformed bodies are refused") {
+  const auto Sample = nlohmann::json::parse(R"({"a": [1, -2, 3.5, "\u00e9"],
+    "b": {"c": null, "d": true}})");
+  CHECK(*decodeBody(encodeBody(Sample)) == Sample);
+  const std::string Good = encodeBody(Sample);
+  for (std::size_t Size = 0; Size < Good.size(); ++Size)
+    CHECK_FALSE(decodeBody(std::string_view(Good).substr(0, Size)));
+  CHECK_FALSE(decodeBody(Good + "x"));
+  CHECK_FALSE(decodeBody(std::string(1 << 20, '\x81')));
+  CHECK_FALSE(decodeBody(std::string("\x9b\xff\xff\xff\xff\xff\xff\xff\xff")));
+  CHECK_FALSE(decodeBody("\x62\xc3\x28"));
+  CHECK_FALSE(decodeBody("\x9f\x01\xff"));
+  CHECK_FALSE(decodeEnvelope(Good));
+}
