Add version comparison, rollout schedule and version guard

Change: VersionComparison over windows of 10, 60 and 600 s per route and in total, with a limit on the chance of the evidence (Chernoff, 1e-5) beside the bounds; RolloutSchedule with stages computed back from the deadline; VersionGuard with versionStop; VersionSplit names its plan, so that a stop ends with it.

--- a/src/features/model/FleetConfigJson.cpp
+++ b/src/features/model/FleetConfigJson.cpp
@@ -67,7 +67,8 @@
 
 VersionSplit readSplit(JsonReader &Reader) {
   return {Reader.text("service"), Reader.text("stable"),
-          Reader.textOr("canary", ""), Reader.numberOr("canary_share", 0, 0)};
+          Reader.textOr("canary", ""), Reader.numberOr("canary_share", 0, 0),
+          Reader.textOr("plan", "")};
 }
 
 TrafficShift readShift(JsonReader &Reader) {
@@ -161,7 +162,8 @@
   return {{"service", Item.Service},
           {"stable", Item.StableVersion},
           {"canary", Item.CanaryVersion},
-          {"canary_share", Item.CanaryShare}};
+          {"canary_share", Item.CanaryShare},
+          {"plan", Item.Plan}};
 }
 
 json toJson(const TrafficShift &Item) {
--- a/src/features/model/VersionSplit.h
+++ b/src/features/model/VersionSplit.h
@@ -13,6 +13,8 @@
   std::string CanaryVersion;
   /// 0 to 1; requests that the canary version may get at most.
   double CanaryShare = 0;
+  /// Plan that moves the share; tells one rollout of a version from the next.
+  std::string Plan;
 };
 
 } // namespace rr
--- /dev/null
+++ b/src/features/rollout/SlowThreshold.h
@@ -0,0 +1,33 @@
+#ifndef REDWINGRACK_ROLLOUT_SLOWTHRESHOLD_H
+#define REDWINGRACK_ROLLOUT_SLOWTHRESHOLD_H
+
+#include "base/Clock.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+
+namespace rr {
+
+/// Estimates the 95th percentile of the stable version's latency on one route.
+/// Both versions are judged by the estimate of the window before, so that the
+/// same share of equal versions counts as slow.
+class SlowThreshold {
+public:
+  void recordStable(Clock::duration Latency, Clock::time_point At);
+  /// False until the first window is full.
+  bool isSlow(Clock::duration Latency) const;
+
+private:
+  /// Steps of a tenth from 50 us to more than 100 s.
+  static constexpr std::size_t BucketCount = 160;
+
+  std::array<std::uint32_t, BucketCount> Buckets{};
+  std::uint64_t Samples = 0;
+  Clock::time_point Start;
+  std::optional<Clock::duration> Threshold;
+};
+
+} // namespace rr
+
+#endif // REDWINGRACK_ROLLOUT_SLOWTHRESHOLD_H
--- /dev/null
+++ b/src/features/rollout/VersionComparison.cpp
@@ -0,0 +1,129 @@
+#include "rollout/VersionComparison.h"
+
+#include <array>
+#include <cstdio>
+#include <utility>
+
+namespace rr {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::array<Clock::duration, 3> WindowLengths{10s, 60s, 600s};
+// Counts that are kept as the reference for later.
+constexpr std::uint64_t LeastReference = 200;
+// From this many requests on, only counts of the same time are compared, so
+// that a fault that hits both versions does not count against the candidate.
+constexpr std::uint64_t LeastConcurrent = 30;
+
+std::string describe(const char *What, const std::string &Route,
+                     std::uint64_t Events, std::uint64_t Requests,
+                     std::uint64_t StableEvents, std::uint64_t StableRequests) {
+  char Buffer[160];
+  std::snprintf(Buffer, sizeof Buffer,
+                "%llu of %llu answers are %s, against %llu of %llu of the "
+                "stable version",
+                static_cast<unsigned long long>(Events),
+                static_cast<unsigned long long>(Requests), What,
+                static_cast<unsigned long long>(StableEvents),
+                static_cast<unsigned long long>(StableRequests));
+  return (Route.empty() ? "on all routes " : "on route " + Route + " ") +
+         Buffer;
+}
+
+bool wentDown(const VersionCounts &Reached, const VersionCounts &Before) {
+  return Reached.Requests < Before.Requests ||
+         Reached.Failures < Before.Failures || Reached.Slow < Before.Slow;
+}
+
+} // namespace
+
+VersionComparison::VersionComparison(std::string Stable, std::string Candidate,
+                                     VersionRule Rule)
+    : Stable(std::move(Stable)), Candidate(std::move(Candidate)), Rule(Rule),
+      Windows(WindowLengths.begin(), WindowLengths.end()) {}
+
+void VersionComparison::record(const std::string &Route,
+                               const std::string &Version,
+                               const VersionCounts &Counts,
+                               Clock::time_point At) {
+  const bool OfCandidate = Version == this->Candidate;
+  if (!OfCandidate && Version != this->Stable)
+    return;
+  if (OfCandidate)
+    this->Requests += Counts.Requests;
+  for (VersionWindow &Window : this->Windows)
+    Window.add(Route, OfCandidate, Counts, At);
+}
+
+void VersionComparison::observe(const std::string &Source,
+                                const VersionStats &Reached,
+                                Clock::time_point At) {
+  VersionStats &Before = this->Sources[Source];
+  for (const auto &[Key, Counts] : Reached.Counts) {
+    VersionCounts Added = Counts;
+    const auto Known = Before.Counts.find(Key);
+    if (Known != Before.Counts.end() && !wentDown(Counts, Known->second))
+      Added -= Known->second;
+    if (Added != VersionCounts())
+      this->record(Key.first, Key.second, Added, At);
+  }
+  Before = Reached;
+}
+
+const VersionCounts &
+VersionComparison::reference(const std::string &Route,
+                             const VersionCounts &Current) {
+  VersionCounts &Last = this->References[Route];
+  if (Current.Requests >= LeastReference || Current.Requests >= Last.Requests)
+    Last = Current;
+  return Current.Requests >= LeastConcurrent ? Current : Last;
+}
+
+std::optional<VersionVerdict>
+VersionComparison::checkPair(const std::string &Route,
+                             const VersionCounts &Candidate,
+                             const VersionCounts &Stable) const {
+  if (isWorse(this->Rule, Candidate.Failures, Candidate.Requests,
+              Stable.Failures, Stable.Requests))
+    return VersionVerdict{
+        VersionVerdict::Kind::Failures, Route, Candidate, Stable,
+        describe("failures", Route, Candidate.Failures, Candidate.Requests,
+                 Stable.Failures, Stable.Requests)};
+  if (isWorse(this->Rule, Candidate.Slow, Candidate.Requests, Stable.Slow,
+              Stable.Requests))
+    return VersionVerdict{VersionVerdict::Kind::Slow, Route, Candidate, Stable,
+                          describe("slow", Route, Candidate.Slow,
+                                   Candidate.Requests, Stable.Slow,
+                                   Stable.Requests)};
+  return std::nullopt;
+}
+
+std::optional<VersionVerdict>
+VersionComparison::checkWindow(const VersionWindow &Window) {
+  VersionCounts Candidate;
+  VersionCounts Stable;
+  for (const auto &[Route, Counts] : Window.sums()) {
+    const VersionCounts Against = this->reference(Route, Counts.Stable);
+    if (auto Found = this->checkPair(Route, Counts.Candidate, Against))
+      return Found;
+    // Routes that only one version has served would shift the total.
+    if (Counts.Candidate.Requests == 0 || Against.Requests == 0)
+      continue;
+    Candidate += Counts.Candidate;
+    Stable += Against;
+  }
+  return this->checkPair("", Candidate, Stable);
+}
+
+std::optional<VersionVerdict> VersionComparison::check(Clock::time_point At) {
+  for (VersionWindow &Window : this->Windows) {
+    Window.expire(At);
+    if (auto Found = this->checkWindow(Window))
+      return Found;
+  }
+  return std::nullopt;
+}
+
+} // namespace rr
--- /dev/null
+++ b/src/features/rollout/VersionGuard.cpp
@@ -0,0 +1,126 @@
+#include "rollout/VersionGuard.h"
+
+#include "model/FleetConfig.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rr {
+
+namespace {
+
+// Far more than rollouts begin within the delay of a configuration.
+constexpr std::size_t MostEarlyStops = 64;
+
+bool isRollout(const VersionSplit &Split) {
+  return !Split.CanaryVersion.empty() && !Split.Plan.empty();
+}
+
+} // namespace
+
+VersionGuard::VersionGuard(std::string Instance, VersionRule Rule)
+    : Instance(std::move(Instance)), Rule(Rule) {}
+
+void VersionGuard::adopt(const FleetConfig &Config) {
+  this->ConfigVersion = Config.Version;
+  std::erase_if(this->Rollouts, [&](const auto &Item) {
+    const VersionSplit *Split = findSplit(Config, Item.first);
+    return !Split || Split->Plan != Item.second.Stats.Plan ||
+           Split->CanaryVersion != Item.second.Candidate;
+  });
+  for (const VersionSplit &Split : Config.Splits) {
+    if (!isRollout(Split) || this->Rollouts.count(Split.Service))
+      continue;
+    VersionComparison Comparison(Split.StableVersion, Split.CanaryVersion,
+                                 this->Rule);
+    Rollout Begun{Split.CanaryVersion,
+                  Split.StableVersion,
+                  {},
+                  std::move(Comparison),
+                  {},
+                  {}};
+    Begun.Stats.Plan = Split.Plan;
+    this->Rollouts.emplace(Split.Service, std::move(Begun));
+  }
+  for (const VersionStop &Stop : std::exchange(this->Early, {}))
+    this->merge(Stop);
+}
+
+std::optional<VersionStop>
+VersionGuard::record(const std::string &Service, const std::string &Route,
+                     const std::string &Version, bool Failed,
+                     Clock::duration Latency, Clock::time_point At) {
+  const auto Found = this->Rollouts.find(Service);
+  if (Found == this->Rollouts.end())
+    return std::nullopt;
+  Rollout &Current = Found->second;
+  if (Version != Current.Candidate && Version != Current.Stable)
+    return std::nullopt;
+  SlowThreshold &Threshold = Current.Thresholds[Route];
+  const bool Slow = !Failed && Threshold.isSlow(Latency);
+  // A failure that comes fast says nothing about the latency of answers.
+  if (Version == Current.Stable && !Failed)
+    Threshold.recordStable(Latency, At);
+  const VersionCounts Counts{1, Failed ? 1U : 0U, Slow ? 1U : 0U};
+  Current.Stats.Counts[{Route, Version}] += Counts;
+  Current.Comparison.record(Route, Version, Counts, At);
+  const bool Evidence = Version == Current.Candidate && (Failed || Slow);
+  if (!Evidence || Current.Stop)
+    return std::nullopt;
+  const auto Verdict = Current.Comparison.check(At);
+  if (!Verdict)
+    return std::nullopt;
+  Current.Stop =
+      VersionStop{Current.Stats.Plan, Service,       Version,
+                  this->Instance,     Verdict->Text, this->ConfigVersion};
+  return Current.Stop;
+}
+
+bool VersionGuard::accept(const VersionStop &Stop) {
+  const auto Found = this->Rollouts.find(Stop.Service);
+  if (Found == this->Rollouts.end() || Found->second.Stats.Plan != Stop.Plan ||
+      Found->second.Candidate != Stop.Version)
+    return false;
+  if (!Found->second.Stop)
+    Found->second.Stop = Stop;
+  return true;
+}
+
+bool VersionGuard::merge(const VersionStop &Stop) {
+  if (this->stopOf(Stop.Plan))
+    return false;
+  if (this->accept(Stop))
+    return true;
+  // The configuration here is as new as the sender's and has no such plan.
+  if (Stop.ConfigVersion <= this->ConfigVersion)
+    return false;
+  const auto Same = [&](const VersionStop &Other) {
+    return Other.Plan == Stop.Plan;
+  };
+  if (this->Early.size() >= MostEarlyStops ||
+      std::any_of(this->Early.begin(), this->Early.end(), Same))
+    return false;
+  this->Early.push_back(Stop);
+  return true;
+}
+
+bool VersionGuard::isStopped(const std::string &Service,
+                             const std::string &Version) const {
+  const auto Found = this->Rollouts.find(Service);
+  return Found != this->Rollouts.end() && Found->second.Stop &&
+         Found->second.Candidate == Version;
+}
+
+std::optional<VersionStop> VersionGuard::stopOf(const std::string &Plan) const {
+  for (const auto &[Service, Current] : this->Rollouts)
+    if (Current.Stats.Plan == Plan)
+      return Current.Stop;
+  return std::nullopt;
+}
+
+const VersionStats *VersionGuard::stats(const std::string &Service) const {
+  const auto Found = this->Rollouts.find(Service);
+  return Found == this->Rollouts.end() ? nullptr : &Found->second.Stats;
+}
+
+} // namespace rr
--- /dev/null
+++ b/src/features/rollout/VersionGuard.h
@@ -0,0 +1,70 @@
+#ifndef REDWINGRACK_ROLLOUT_VERSIONGUARD_H
+#define REDWINGRACK_ROLLOUT_VERSIONGUARD_H
+
+#include "rollout/SlowThreshold.h"
+#include "rollout/VersionComparison.h"
+#include "rollout/VersionStop.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace rr {
+
+struct FleetConfig;
+
+/// Watches the rollouts at one instance. Stops a version at once on the
+/// instance's own evidence or on the word of another instance, without the
+/// store or a lease. A stop ends with the plan that it belongs to.
+class VersionGuard {
+public:
+  explicit VersionGuard(std::string Instance, VersionRule Rule = {});
+
+  /// Begins the rollouts that \p Config has and forgets those it has not.
+  void adopt(const FleetConfig &Config);
+
+  /// Counts an answer. Returns a stop when this answer is the last piece of
+  /// evidence; the caller sends it to the other instances.
+  std::optional<VersionStop> record(const std::string &Service,
+                                    const std::string &Route,
+                                    const std::string &Version, bool Failed,
+                                    Clock::duration Latency,
+                                    Clock::time_point At);
+
+  /// Takes the stop of another instance. Returns whether it is news, so that
+  /// it is passed on only once.
+  bool merge(const VersionStop &Stop);
+
+  /// Whether \p Version of \p Service must get no requests.
+  bool isStopped(const std::string &Service, const std::string &Version) const;
+
+  /// The stop that holds for a plan.
+  std::optional<VersionStop> stopOf(const std::string &Plan) const;
+
+  /// Counts for the heartbeat; null when the service has no rollout.
+  const VersionStats *stats(const std::string &Service) const;
+
+private:
+  struct Rollout {
+    std::string Candidate;
+    std::string Stable;
+    VersionStats Stats;
+    VersionComparison Comparison;
+    std::map<std::string, SlowThreshold> Thresholds;
+    std::optional<VersionStop> Stop;
+  };
+
+  bool accept(const VersionStop &Stop);
+
+  std::string Instance;
+  VersionRule Rule;
+  std::uint64_t ConfigVersion = 0;
+  std::map<std::string, Rollout> Rollouts;
+  /// Stops of plans that this instance's configuration does not have yet.
+  std::vector<VersionStop> Early;
+};
+
+} // namespace rr
+
+#endif // REDWINGRACK_ROLLOUT_VERSIONGUARD_H
--- /dev/null
+++ b/src/features/rollout/VersionVerdict.h
@@ -0,0 +1,25 @@
+#ifndef REDWINGRACK_ROLLOUT_VERSIONVERDICT_H
+#define REDWINGRACK_ROLLOUT_VERSIONVERDICT_H
+
+#include "rollout/VersionCounts.h"
+
+#include <string>
+
+namespace rr {
+
+/// Evidence that the candidate version is bad.
+struct VersionVerdict {
+  enum class Kind { Failures, Slow };
+
+  Kind Cause = Kind::Failures;
+  /// Empty for all routes together.
+  std::string Route;
+  VersionCounts Candidate;
+  VersionCounts Stable;
+  /// One sentence for operators.
+  std::string Text;
+};
+
+} // namespace rr
+
+#endif // REDWINGRACK_ROLLOUT_VERSIONVERDICT_H
--- /dev/null
+++ b/src/features/rollout/VersionWindow.h
@@ -0,0 +1,43 @@
+#ifndef REDWINGRACK_ROLLOUT_VERSIONWINDOW_H
+#define REDWINGRACK_ROLLOUT_VERSIONWINDOW_H
+
+#include "base/Clock.h"
+#include "rollout/VersionCounts.h"
+
+#include <deque>
+#include <map>
+#include <string>
+
+namespace rr {
+
+/// Running sums of both versions per route over the last stretch of time, kept
+/// in buckets of a twentieth of its length.
+class VersionWindow {
+public:
+  struct Pair {
+    VersionCounts Candidate;
+    VersionCounts Stable;
+  };
+  using RouteCounts = std::map<std::string, Pair>;
+
+  explicit VersionWindow(Clock::duration Length);
+
+  void add(const std::string &Route, bool OfCandidate,
+           const VersionCounts &Counts, Clock::time_point At);
+  void expire(Clock::time_point At);
+  const RouteCounts &sums() const { return this->Sums; }
+
+private:
+  struct Bucket {
+    Clock::time_point Start;
+    RouteCounts Counts;
+  };
+
+  Clock::duration Length;
+  std::deque<Bucket> Buckets;
+  RouteCounts Sums;
+};
+
+} // namespace rr
+
+#endif // REDWINGRACK_ROLLOUT_VERSIONWINDOW_H
--- /dev/null
+++ b/src/features/rollout/tst_RolloutSchedule.cpp
@@ -0,0 +1,68 @@
+#include "rollout/RolloutSchedule.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <rapidcheck.h>
+
+using namespace rr;
+using namespace std::chrono_literals;
+
+namespace {
+
+// One seed on every run; RC_PARAMS in the environment overrides it.
+const int Seeded = setenv("RC_PARAMS", "seed=2026", 0);
+
+const WallTime Start{std::chrono::seconds(1'800'000'000)};
+
+/// Walks through the stages in steps of half a second, with \p Rate requests a
+/// second in all, and returns when the last one ends.
+WallTime finish(const RolloutSchedule &Schedule, double Rate,
+                std::chrono::milliseconds Held = 0ms) {
+  WallTime Now = Start;
+  for (std::size_t Stage = 0; Stage < RolloutSchedule::StageCount; ++Stage) {
+    const WallTime Begin = Now;
+    double Requests = 0;
+    while (!Schedule.mayLeave(Stage, Begin,
+                              static_cast<std::uint64_t>(Requests), Now)) {
+      Now += 500ms;
+      Requests += Rate / 2 * RolloutSchedule::Shares[Stage];
+    }
+    Now += Stage == 1 ? Held : 0ms;
+  }
+  return Now;
+}
+
+} // namespace
+
+// Guards against good versions that miss the time the operator gave, at any
+// rate of traffic and also when the store held the rollout up for a third.
+TEST_CASE("Stages end in time for the deadline") {
+  CHECK(rc::check([] {
+    const auto Whole = std::chrono::seconds(*rc::gen::inRange(300, 90'000));
+    const double Rate = *rc::gen::inRange(0, 5000);
+    const auto Held = *rc::gen::element(0s, Whole / 3);
+    const auto Soak = RolloutSchedule::defaultSoak(Whole);
+    const RolloutSchedule Schedule(Start + Whole, Soak);
+    RC_ASSERT(finish(Schedule, Rate, Held) <= Start + Whole);
+  }));
+}
+
+// Guards against a stage that goes on before it has seen enough requests
+// although there is time.
+TEST_CASE("A stage without its requests waits longer than one with them") {
+  const RolloutSchedule Schedule(Start + 1h, 300s);
+  const WallTime Planned = Schedule.plannedEnd(0, Start);
+  CHECK(Planned > Start + 10min);
+  CHECK(Schedule.mayLeave(0, Start, 200, Planned));
+  CHECK_FALSE(Schedule.mayLeave(0, Start, 199, Planned));
+  CHECK_FALSE(Schedule.mayLeave(0, Start, 100'000, Planned - 1s));
+  CHECK(Schedule.mayLeave(0, Start, 0, Schedule.latestEnd(0, Start)));
+}
+
+// Guards against a soak that is skipped when the rollout is on time.
+TEST_CASE("The last stage lasts the whole soak") {
+  const RolloutSchedule Schedule(Start + 1h, 300s);
+  CHECK_FALSE(
+      Schedule.mayLeave(4, Start + 40min, 1'000'000, Start + 40min + 299s));
+  CHECK(Schedule.mayLeave(4, Start + 40min, 0, Start + 40min + 300s));
+}
