Add redwingrack-bench with lookup, decision and routing

Cause: the size and speed targets and the choice of policy need figures that anyone can repeat. Change: benchmark program with a table of subcommands; a simulation of twelve instances on the paused clock; a tree in place of binary search for IPv6; no search for a server while all are known to be full; overflow counted once a request.

--- /dev/null
+++ b/src/bench/BenchCommands.cpp
@@ -0,0 +1,22 @@
+#include "bench/BenchCommands.h"
+
+namespace rr {
+
+int runDecisionBench(const std::vector<std::string> &Arguments);
+int runLookupBench(const std::vector<std::string> &Arguments);
+int runRoutingBench(const std::vector<std::string> &Arguments);
+
+namespace {
+
+constexpr BenchCommand Commands[] = {
+    {"decision", "time per routing decision at 26, 130 and 260 sites",
+     runDecisionBench},
+    {"lookup", "rate and memory of the client block table", runLookupBench},
+    {"routing", "policy simulation; optional argument: seed", runRoutingBench},
+};
+
+} // namespace
+
+std::span<const BenchCommand> benchCommands() { return Commands; }
+
+} // namespace rr
--- a/src/features/lookup/RangeTable6.cpp
+++ b/src/features/lookup/RangeTable6.cpp
@@ -8,7 +8,36 @@
 
 namespace {
 
-constexpr std::size_t SampleDistance = 64;
+// Two cache lines; measured faster than a binary search, which touches more.
+constexpr std::size_t NodeSize = 16;
+
+using Keys = std::vector<std::uint64_t>;
+
+Keys sample(const Keys &Below) {
+  Keys Result;
+  Result.reserve((Below.size() + NodeSize - 1) / NodeSize);
+  for (std::size_t I = 0; I < Below.size(); I += NodeSize)
+    Result.push_back(Below[I]);
+  return Result;
+}
+
+// Last element of a node that is not above the key. The first one never is.
+std::size_t lastInNode(const Keys &Level, std::size_t Node, std::uint64_t Key) {
+  const std::size_t Begin = Node * NodeSize;
+  const std::size_t End = std::min(Begin + NodeSize, Level.size());
+  std::size_t Count = 0;
+  // The compiler unrolls the loop only when the count is fixed.
+  if (End - Begin == NodeSize) {
+    const std::uint64_t *Data = Level.data() + Begin;
+#pragma GCC unroll 16
+    for (std::size_t I = 0; I < NodeSize; ++I)
+      Count += Data[I] <= Key ? 1 : 0;
+    return Begin + Count - 1;
+  }
+  for (std::size_t I = Begin; I < End; ++I)
+    Count += Level[I] <= Key ? 1 : 0;
+  return Begin + Count - 1;
+}
 
 } // namespace
 
@@ -39,18 +68,18 @@
   this->Highs.shrink_to_fit();
   this->Lows.shrink_to_fit();
   this->Values.shrink_to_fit();
-  this->Samples.clear();
-  for (std::size_t I = 0; I < this->Highs.size(); I += SampleDistance)
-    this->Samples.push_back(this->Highs[I]);
+  this->Levels.clear();
+  for (const Keys *Below = &this->Highs; Below->size() > NodeSize;
+       Below = &this->Levels.back())
+    this->Levels.push_back(sample(*Below));
 }
 
 std::size_t RangeTable6::lastWithHigh(std::uint64_t High) const {
-  const std::size_t Block =
-      countNotAbove(this->Samples.data(), this->Samples.size(), High) - 1;
-  const std::size_t Begin = Block * SampleDistance;
-  const std::size_t Count =
-      std::min(SampleDistance, this->Highs.size() - Begin);
-  return Begin + countNotAbove(this->Highs.data() + Begin, Count, High) - 1;
+  std::size_t Node = 0;
+  for (auto Level = this->Levels.rbegin(); Level != this->Levels.rend();
+       ++Level)
+    Node = lastInNode(*Level, Node, High);
+  return lastInNode(this->Highs, Node, High);
 }
 
 std::uint32_t RangeTable6::find(Key6 Address) const {
@@ -65,9 +94,10 @@
 }
 
 std::size_t RangeTable6::memoryBytes() const {
-  return (this->Samples.capacity() + this->Highs.capacity() +
-          this->Lows.capacity()) *
-             sizeof(std::uint64_t) +
+  std::size_t Words = this->Highs.capacity() + this->Lows.capacity();
+  for (const Keys &Level : this->Levels)
+    Words += Level.capacity();
+  return Words * sizeof(std::uint64_t) +
          this->Values.capacity() * sizeof(std::uint32_t);
 }
 
--- a/src/features/lookup/RangeTable6.h
+++ b/src/features/lookup/RangeTable6.h
@@ -8,8 +8,8 @@
 
 namespace rr {
 
-/// Sorted IPv6 ranges with an index of every 64th start. The lower halves of
-/// the starts are kept only when a prefix is longer than 64 bits.
+/// Sorted IPv6 ranges under a tree of every 16th start. The lower halves of the
+/// starts are kept only when a prefix is longer than 64 bits.
 class RangeTable6 {
 public:
   void reserve(std::size_t Ranges);
@@ -25,7 +25,8 @@
 private:
   std::size_t lastWithHigh(std::uint64_t High) const;
 
-  std::vector<std::uint64_t> Samples;
+  /// Every 16th element of the level below; the first level is over Highs.
+  std::vector<std::vector<std::uint64_t>> Levels;
   std::vector<std::uint64_t> Highs;
   std::vector<std::uint64_t> Lows;
   std::vector<std::uint32_t> Values;
--- a/src/features/routing/RouteDecision.h
+++ b/src/features/routing/RouteDecision.h
@@ -29,6 +29,9 @@
   ForwardLease Peer;
   /// Target of Spill.
   std::string Region;
+  /// The own region could not serve the request in time, and its overflow
+  /// count has it.
+  bool Overflowed = false;
   /// For Queue and Refuse; a caller may come back after that time.
   Clock::duration EstimatedWait{0};
 };
--- a/src/features/routing/RouteRequest.h
+++ b/src/features/routing/RouteRequest.h
@@ -22,12 +22,15 @@
   std::uint32_t Queued = 0;
   /// Whether the request may run a second time.
   bool MayRetry = false;
-  /// An earlier decision about this request was to queue it.
+  /// There was an earlier decision about this request, so that the meters
+  /// have counted it.
   bool Again = false;
   /// Comes from another instance, which expects an owned server.
   bool Forwarded = false;
   /// Comes from another region.
   bool Spilled = false;
+  /// An earlier decision had RouteDecision::Overflowed set.
+  bool OverflowNoted = false;
 };
 
 } // namespace rr
--- a/src/features/routing/Router.cpp
+++ b/src/features/routing/Router.cpp
@@ -165,7 +165,10 @@
   // A wait shorter than the way to the nearest region is better spent here.
   if (Fits && Wait <= this->Targets.front().RoundTrip)
     return false;
-  this->noteOverflow(Request);
+  // A request that waits or was refused by an owner counts once.
+  Decision.Overflowed = true;
+  if (!Request.OverflowNoted)
+    this->noteOverflow(Request);
   for (const SpillTarget &Target : this->Targets) {
     if (Target.RoundTrip >= Request.Deadline - Now ||
         !this->Credits.trySpend(Target.Region, Request.Service, Request.Bytes,
@@ -181,7 +184,7 @@
 Clock::duration Router::estimateWait(const RouteRequest &Request,
                                      std::string_view Version,
                                      Clock::time_point Now) const {
-  const auto Use = this->Servers.use(Request.Service, Version, Now);
+  const auto Use = this->Servers.recentUse(Request.Service, Version, Now);
   // All deciders of the region compete for its slots.
   const double Slots =
       double(Use.Slots + this->Peers.slots(Request.Service, Version)) /
@@ -194,9 +197,6 @@
 }
 
 void Router::noteOverflow(const RouteRequest &Request) {
-  // A queued request was counted by its first decision.
-  if (Request.Again)
-    return;
   auto Found =
       std::ranges::find(this->Overflows, Request.Service, &Overflow::Service);
   if (Found == this->Overflows.end())
--- a/src/features/routing/ServerChoice.cpp
+++ b/src/features/routing/ServerChoice.cpp
@@ -9,6 +9,9 @@
 // Stands in before any server of a version has answered.
 constexpr std::chrono::nanoseconds NoLatencyYet = std::chrono::milliseconds(20);
 
+// Random picks before the servers are looked at in turn.
+constexpr int MaxPicks = 6;
+
 // Uniform enough for small counts, and cheaper than a distribution object.
 std::size_t randomBelow(std::size_t Count, RandomEngine &Random) {
   return static_cast<std::size_t>((Random() >> 32) * Count >> 32);
@@ -21,30 +24,32 @@
   const auto Eligible = [&](const ServerPtr &Server) {
     return Server->Health.health() == Health && hasFreeSlot(*Server, Now);
   };
-  std::size_t Count = 0;
-  for (const ServerPtr &Server : Group)
-    Count += Eligible(Server) ? 1 : 0;
-  if (Count == 0)
+  if (Group.empty())
     return nullptr;
-  const std::size_t First = randomBelow(Count, Random);
-  std::size_t Second = Count > 1 ? randomBelow(Count - 1, Random) : First;
-  if (Count > 1 && Second >= First)
-    ++Second;
   const ServerPtr *Left = nullptr;
   const ServerPtr *Right = nullptr;
-  std::size_t Number = 0;
-  for (const ServerPtr &Server : Group) {
+  for (int Pick = 0; Pick < MaxPicks && !Right; ++Pick) {
+    const ServerPtr &Server = Group[randomBelow(Group.size(), Random)];
     if (!Eligible(Server))
       continue;
-    if (Number == First)
+    if (!Left)
       Left = &Server;
-    if (Number == Second)
+    else if (Left != &Server)
       Right = &Server;
-    ++Number;
   }
-  if (Left == Right)
-    return *Left;
-  const auto Mean = meanLatency(Group);
+  // With few eligible servers the picks may have missed them.
+  const std::size_t Start = randomBelow(Group.size(), Random);
+  for (std::size_t I = 0; I < Group.size() && !Right; ++I) {
+    const ServerPtr &Server = Group[(Start + I) % Group.size()];
+    if (Left == &Server || !Eligible(Server))
+      continue;
+    (Left ? Right : Left) = &Server;
+  }
+  if (!Left || !Right)
+    return Left ? *Left : nullptr;
+  const bool Known =
+      (*Left)->Latency.value().count() && (*Right)->Latency.value().count();
+  const auto Mean = Known ? std::chrono::nanoseconds() : meanLatency(Group);
   return scoreOf(**Right, Mean, Now) < scoreOf(**Left, Mean, Now) ? *Right
                                                                   : *Left;
 }
--- a/src/features/routing/ServerTable.cpp
+++ b/src/features/routing/ServerTable.cpp
@@ -13,6 +13,10 @@
 constexpr std::uint32_t EjectionDivisor = 3;
 // A server this much slower than the average of its version is slow.
 constexpr int SlowFactor = 2;
+constexpr std::chrono::milliseconds RecentUseTime{10};
+// Saves a search per request while all slots are taken. Short, because slots
+// that a slow start adds are noticed only after it.
+constexpr std::chrono::milliseconds FullTime{5};
 
 bool sharesBound(const ServerState &Server, std::string_view Service,
                  std::string_view Zone) {
@@ -71,7 +75,8 @@
       return Group.Service == Item.Service && Group.Version == Item.Version;
     });
     if (Found == this->Groups.end())
-      Found = this->Groups.insert(Found, {Item.Service, Item.Version, {}, {}});
+      Found = this->Groups.insert(
+          Found, {Item.Service, Item.Version, {}, {}, {}, {}, {}});
     Found->All.push_back(Server);
     if (Server->Owned)
       Found->Owned.push_back(Server);
@@ -120,18 +125,24 @@
   const VersionGroup *Group = this->group(Service, Version);
   if (!Group)
     return {};
-  if (ServerPtr Trial = chooseTrial(Group->Owned, MayRetry, Now))
-    return this->lease(std::move(Trial), true, Now);
-  return this->lease(
-      chooseServer(Group->Owned, Ejection::Health::Healthy, Random, Now), false,
-      Now);
+  if (this->AnyFaulty)
+    if (ServerPtr Trial = chooseTrial(Group->Owned, MayRetry, Now))
+      return this->lease(std::move(Trial), true, Now);
+  if (Now < Group->FullUntil)
+    return {};
+  ServerPtr Chosen =
+      chooseServer(Group->Owned, Ejection::Health::Healthy, Random, Now);
+  if (!Chosen)
+    Group->FullUntil = Now + FullTime;
+  return this->lease(std::move(Chosen), false, Now);
 }
 
 SlotLease ServerTable::acquireSuspect(std::string_view Service,
                                       std::string_view Version,
                                       RandomEngine &Random,
                                       Clock::time_point Now) {
-  const VersionGroup *Group = this->group(Service, Version);
+  const VersionGroup *Group =
+      this->AnyFaulty ? this->group(Service, Version) : nullptr;
   if (!Group)
     return {};
   return this->lease(
@@ -143,15 +154,19 @@
                           bool Trial, std::chrono::nanoseconds Latency,
                           Clock::time_point Now) {
   --Server.Outstanding;
+  if (const VersionGroup *Group =
+          this->group(Server.Config.Service, Server.Config.Version))
+    Group->FullUntil = {};
   Server.Usage.set(double(Server.Outstanding) / Server.Config.Slots, Now);
   if (Outcome == RequestOutcome::Success)
     Server.Latency.record(Latency, Now);
   // A server that returns may have been restarted, so its cache is cold.
   if (Server.Health.record(Outcome, Trial, Now))
     Server.Ramp.begin(1, Now);
-  if (Server.Health.isFaulty(this->peerFailureRate(Server), Now))
+  if (Server.Health.isFaulty(this->peerFailureRate(Server), Now)) {
     Server.Health.setFaulty(this->mayEject(Server), Now);
-  else
+    this->AnyFaulty = true;
+  } else
     Server.Health.setHealthy();
 }
 
@@ -238,18 +253,35 @@
   return Result;
 }
 
+VersionUse ServerTable::recentUse(std::string_view Service,
+                                  std::string_view Version,
+                                  Clock::time_point Now) const {
+  const VersionGroup *Group = this->group(Service, Version);
+  if (!Group)
+    return this->use(Service, Version, Now);
+  if (Now >= Group->RecentUntil) {
+    Group->Recent = this->use(Service, Version, Now);
+    Group->RecentUntil = Now + RecentUseTime;
+  }
+  return Group->Recent;
+}
+
 VersionUse ServerTable::use(std::string_view Service, std::string_view Version,
                             Clock::time_point Now) const {
   VersionUse Result;
   const VersionGroup *Group = this->group(Service, Version);
-  Result.Latency = meanLatency(Group ? Group->Owned : std::vector<ServerPtr>());
-  if (!Group)
-    return Result;
-  for (const ServerPtr &Server : Group->Owned) {
+  std::chrono::nanoseconds Sum{0};
+  int Answered = 0;
+  const auto Owned = Group ? std::span<const ServerPtr>(Group->Owned)
+                           : std::span<const ServerPtr>();
+  for (const ServerPtr &Server : Owned) {
     Result.Outstanding += Server->Outstanding;
     if (!Server->Config.Draining)
       Result.Slots += effectiveSlots(*Server, Now);
+    Sum += Server->Latency.value();
+    Answered += Server->Latency.value().count() > 0 ? 1 : 0;
   }
+  Result.Latency = Answered > 0 ? Sum / Answered : meanLatency({});
   return Result;
 }
 
--- a/src/features/routing/ServerTable.h
+++ b/src/features/routing/ServerTable.h
@@ -54,6 +54,9 @@
 
   /// Headroom of the owned servers, for heartbeats.
   std::vector<ServiceHeadroom> headroom(Clock::time_point Now) const;
+  /// As use(), up to 10 ms old; for estimates on the request path.
+  VersionUse recentUse(std::string_view Service, std::string_view Version,
+                       Clock::time_point Now) const;
   VersionUse use(std::string_view Service, std::string_view Version,
                  Clock::time_point Now) const;
   /// Null when the server is unknown.
@@ -67,6 +70,10 @@
     std::string Version;
     std::vector<ServerPtr> All;
     std::vector<ServerPtr> Owned;
+    mutable VersionUse Recent;
+    mutable Clock::time_point RecentUntil{};
+    /// No owned server has room until then, unless a slot is released.
+    mutable Clock::time_point FullUntil{};
   };
 
   const VersionGroup *group(std::string_view Service,
@@ -79,6 +86,9 @@
   std::vector<ServerPtr> Servers;
   std::map<std::string, ServerPtr, std::less<>> ByName;
   std::vector<VersionGroup> Groups;
+  /// Some server was faulty at some time; saves searches for suspects and
+  /// trials.
+  bool AnyFaulty = false;
   std::map<std::pair<std::string, std::string>, std::uint32_t> EjectedElsewhere;
 };
 
--- a/src/features/routing/tst_Router.cpp
+++ b/src/features/routing/tst_Router.cpp
@@ -72,6 +72,10 @@
   }
   CHECK(Forwarded);
   CHECK(Fix.Held.size() == 16);
+  // Now the other owner has room, and the own servers have not.
+  std::erase_if(Fix.Held, [](const RouteDecision &Decision) {
+    return Decision.Where == Kind::Forward;
+  });
   Fix.Request.Forwarded = true;
   Fix.Request.Version = "1";
   CHECK(Fix.decide().Where == Kind::Refuse);
@@ -113,6 +117,13 @@
   const auto Overflows = Fix.Routes.takeOverflow();
   REQUIRE(Overflows.size() == 1);
   CHECK(Overflows[0].Requests == 2);
+  // A request that an owner refused counts, but only once.
+  Fix.Request = {"w", "stock", {}, 100, Fix.Now + 5s, 1000, true, true};
+  const bool Noted = Fix.decide().Overflowed;
+  CHECK(Noted);
+  Fix.Request.OverflowNoted = Noted;
+  Fix.decide();
+  CHECK(Fix.Routes.takeOverflow()[0].Requests == 1);
   CHECK(Fix.Routes.takeOverflow().empty());
 }
 
@@ -151,6 +162,12 @@
   CHECK(Fix.decide().Where == Kind::Queue);
   Fix.Held.clear();
   CHECK(Fix.decide().Version == "2");
+  // The old version has no servers any more.
+  for (BackendServer &Server : Fix.Config.Servers)
+    Server.Version = "2";
+  Fix.configure({{"x", "a1", "a"}});
+  Fix.fill();
+  CHECK(Fix.decide().Where == Kind::Queue);
 }
 
 // Guards against a shift that exceeds its share, goes without credit or takes
--- a/src/features/routing/tst_ServerTable.cpp
+++ b/src/features/routing/tst_ServerTable.cpp
@@ -183,7 +183,9 @@
   CHECK(effectiveSlots(*Fix.Table.find("s0"), Fix.Now) == 1);
   // A relapse waits longer still; without retryable requests any one serves.
   Fix.finish("s0", RequestOutcome::Failure, 5);
-  Fix.Now += 4s;
+  Fix.Now += 4s - 1ns;
+  CHECK_FALSE(Fix.Table.find("s0")->Health.trialDue(Fix.Now));
+  Fix.Now += 1ns;
   CHECK(Fix.Table.find("s0")->Health.trialDue(Fix.Now));
   CHECK_FALSE(Fix.acquire(false).isTrial());
   Fix.Now += 30s;
--- a/src/features/routing/tst_Spill.cpp
+++ b/src/features/routing/tst_Spill.cpp
@@ -104,6 +104,10 @@
   CHECK(spendAll(Credits, 1, Start, 1s) <= 100);
   CHECK(spendAll(Credits, 1, Start + 1s, 1s) >= 99);
   CHECK(spendAll(Credits, 1, Start + 2500ms, 10s) == 0);
+  // Unused credit does not add up to a burst.
+  Credits.apply(grantOf(100, 1e6), Start + 20s, Start + 20s);
+  Credits.apply(grantOf(100, 1e6), Start + 22s, Start + 22s);
+  CHECK(spendAll(Credits, 1, Start + 22s, 10ms) <= 11);
   SpillCredits FewBytes;
   FewBytes.apply(grantOf(100, 1000), Start, Start);
   const int Sent = spendAll(FewBytes, 50, Start, 2s);
