--- a/src/features/rollout/SlowThreshold.h
+++ b/src/features/rollout/SlowThreshold.h
@@ -9,13 +9,13 @@
 
 namespace rr {
 
-/// Estimates the 95th percentile of the stable version's latency on one route.
-/// Both versions are judged by the estimate of the window before, so that the
-/// same share of equal versions counts as slow.
+/// Estimates the 95th percentile of the stable version's latency on one route
+/// from its last few thousand answers. Both versions are judged by the estimate
+/// made before, so that the same share of equal versions counts as slow.
 class SlowThreshold {
 public:
   void recordStable(Clock::duration Latency, Clock::time_point At);
-  /// False until the first window is full.
+  /// False until the first estimate.
   bool isSlow(Clock::duration Latency) const;
 
 private:
@@ -24,6 +24,7 @@
 
   std::array<std::uint32_t, BucketCount> Buckets{};
   std::uint64_t Samples = 0;
+  std::uint64_t SinceEstimate = 0;
   Clock::time_point Start;
   std::optional<Clock::duration> Threshold;
 };
--- a/src/features/rollout/VersionComparison.cpp
+++ b/src/features/rollout/VersionComparison.cpp
@@ -1,5 +1,6 @@
 #include "rollout/VersionComparison.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <utility>
@@ -16,6 +17,9 @@
 // From this many requests on, only counts of the same time are compared, so
 // that a fault that hits both versions does not count against the candidate.
 constexpr std::uint64_t LeastConcurrent = 30;
+// An earlier share of slow answers was measured against an earlier threshold
+// and at another load, so that the candidate must have twice as many.
+constexpr std::uint64_t SlowFactorAlone = 2;
 
 std::string describe(const char *What, const std::string &Route,
                      std::uint64_t Events, std::uint64_t Requests,
@@ -105,7 +109,9 @@
   VersionCounts Candidate;
   VersionCounts Stable;
   for (const auto &[Route, Counts] : Window.sums()) {
-    const VersionCounts Against = this->reference(Route, Counts.Stable);
+    VersionCounts Against = this->reference(Route, Counts.Stable);
+    if (Counts.Stable.Requests < LeastConcurrent)
+      Against.Slow = std::min(Against.Slow * SlowFactorAlone, Against.Requests);
     if (auto Found = this->checkPair(Route, Counts.Candidate, Against))
       return Found;
     // Routes that only one version has served would shift the total.
--- a/src/features/rollout/VersionGuard.cpp
+++ b/src/features/rollout/VersionGuard.cpp
@@ -33,12 +33,8 @@
       continue;
     VersionComparison Comparison(Split.StableVersion, Split.CanaryVersion,
                                  this->Rule);
-    Rollout Begun{Split.CanaryVersion,
-                  Split.StableVersion,
-                  {},
-                  std::move(Comparison),
-                  {},
-                  {}};
+    Rollout Begun{Split.CanaryVersion, Split.StableVersion, {},
+                  Comparison,          Comparison,          {}};
     Begun.Stats.Plan = Split.Plan;
     this->Rollouts.emplace(Split.Service, std::move(Begun));
   }
@@ -51,27 +47,46 @@
                      const std::string &Version, bool Failed,
                      Clock::duration Latency, Clock::time_point At) {
   const auto Found = this->Rollouts.find(Service);
-  if (Found == this->Rollouts.end())
-    return std::nullopt;
-  Rollout &Current = Found->second;
-  if (Version != Current.Candidate && Version != Current.Stable)
-    return std::nullopt;
-  SlowThreshold &Threshold = Current.Thresholds[Route];
+  const bool Rolling = Found != this->Rollouts.end();
+  SlowThreshold &Threshold = this->Thresholds[{Service, Route}];
   const bool Slow = !Failed && Threshold.isSlow(Latency);
   // A failure that comes fast says nothing about the latency of answers.
-  if (Version == Current.Stable && !Failed)
+  if (!Failed && (!Rolling || Version == Found->second.Stable))
     Threshold.recordStable(Latency, At);
+  if (!Rolling ||
+      (Version != Found->second.Candidate && Version != Found->second.Stable))
+    return std::nullopt;
+  Rollout &Current = Found->second;
   const VersionCounts Counts{1, Failed ? 1U : 0U, Slow ? 1U : 0U};
   Current.Stats.Counts[{Route, Version}] += Counts;
   Current.Comparison.record(Route, Version, Counts, At);
-  const bool Evidence = Version == Current.Candidate && (Failed || Slow);
-  if (!Evidence || Current.Stop)
+  if (Version != Current.Candidate || (!Failed && !Slow))
+    return std::nullopt;
+  return this->stopOn(Current, Service, Current.Comparison, At);
+}
+
+std::optional<VersionStop> VersionGuard::observe(const std::string &Service,
+                                                 const std::string &Source,
+                                                 const VersionStats &Reached,
+                                                 Clock::time_point At) {
+  const auto Found = this->Rollouts.find(Service);
+  if (Found == this->Rollouts.end() || Found->second.Stats.Plan != Reached.Plan)
+    return std::nullopt;
+  Found->second.Together.observe(Source, Reached, At);
+  return this->stopOn(Found->second, Service, Found->second.Together, At);
+}
+
+std::optional<VersionStop> VersionGuard::stopOn(Rollout &Current,
+                                                const std::string &Service,
+                                                VersionComparison &Evidence,
+                                                Clock::time_point At) {
+  if (Current.Stop)
     return std::nullopt;
-  const auto Verdict = Current.Comparison.check(At);
+  const auto Verdict = Evidence.check(At);
   if (!Verdict)
     return std::nullopt;
   Current.Stop =
-      VersionStop{Current.Stats.Plan, Service,       Version,
+      VersionStop{Current.Stats.Plan, Service,       Current.Candidate,
                   this->Instance,     Verdict->Text, this->ConfigVersion};
   return Current.Stop;
 }
--- a/src/features/rollout/VersionGuard.h
+++ b/src/features/rollout/VersionGuard.h
@@ -32,6 +32,14 @@
                                     Clock::duration Latency,
                                     Clock::time_point At);
 
+  /// Takes the counts that another instance has reached; instances that hear
+  /// of others do, above all relays. Returns a stop on the evidence of all
+  /// these instances together, also while the store is down.
+  std::optional<VersionStop> observe(const std::string &Service,
+                                     const std::string &Source,
+                                     const VersionStats &Reached,
+                                     Clock::time_point At);
+
   /// Takes the stop of another instance. Returns whether it is news, so that
   /// it is passed on only once.
   bool merge(const VersionStop &Stop);
@@ -51,16 +59,24 @@
     std::string Stable;
     VersionStats Stats;
     VersionComparison Comparison;
-    std::map<std::string, SlowThreshold> Thresholds;
+    /// Of all instances whose counts are known here.
+    VersionComparison Together;
     std::optional<VersionStop> Stop;
   };
 
   bool accept(const VersionStop &Stop);
+  std::optional<VersionStop> stopOn(Rollout &Current,
+                                    const std::string &Service,
+                                    VersionComparison &Evidence,
+                                    Clock::time_point At);
 
   std::string Instance;
   VersionRule Rule;
   std::uint64_t ConfigVersion = 0;
   std::map<std::string, Rollout> Rollouts;
+  /// By service and route; kept without a rollout as well, so that the next one
+  /// has a threshold from its first answer on.
+  std::map<std::pair<std::string, std::string>, SlowThreshold> Thresholds;
   /// Stops of plans that this instance's configuration does not have yet.
   std::vector<VersionStop> Early;
 };
--- a/src/features/rollout/tst_VersionGuard.cpp
+++ b/src/features/rollout/tst_VersionGuard.cpp
@@ -113,3 +113,20 @@
   Guard.adopt(rollingOut(5, "p1"));
   CHECK(Guard.isStopped("stock", "2"));
 }
+
+// Guards against faults that no single instance sees often enough.
+TEST_CASE("The counts of several instances together stop a version") {
+  VersionGuard Relay("i1");
+  Relay.adopt(rollingOut(5, "p1"));
+  std::optional<VersionStop> Stop;
+  for (const char *Source : {"i2", "i3", "i4", "i5"}) {
+    VersionStats Reached;
+    Reached.Plan = "p1";
+    Reached.Counts[{"read", "1"}] = {100, 0, 0};
+    Reached.Counts[{"read", "2"}] = {1, 1, 0};
+    CHECK_FALSE(Stop);
+    Stop = Relay.observe("stock", Source, Reached, Clock::time_point());
+  }
+  CHECK(Stop);
+  CHECK(Relay.isStopped("stock", "2"));
+}
