Test that a listener without the secret is refused by its dialer

Cause: the wrong-secret case ends at the acceptor, so nothing failed when the dialer did not check the welcome. Conclusion: both directions of the proof are covered.

--- a/src/libs/peerlink/tst_PeerFaults.cpp
+++ b/src/libs/peerlink/tst_PeerFaults.cpp
@@ -122,6 +122,9 @@
   const std::string Hello = Dialer.hello();
   CHECK_FALSE(First.readHello(Hello));
   CHECK(Second.readHello(Hello) == LinkEnd::WrongSecret);
+  Handshake Imposter(1, {"b", "z", "j"}, "other");
+  CHECK(Dialer.readWelcome(Imposter.welcome()) == LinkEnd::WrongSecret);
+  CHECK(Dialer.readWelcome(Second.welcome()) == LinkEnd::WrongSecret);
   CHECK_FALSE(Dialer.readWelcome(First.welcome()));
   CHECK(Dialer.peer().Name == "b");
 }
