Add retry budget and retry rule

Conclusion: a request with an Idempotency-Key is sent again only when no byte can have left, whatever its method.

--- /dev/null
+++ b/src/features/retry/tst_RetryRule.cpp
@@ -0,0 +1,88 @@
+#include "retry/RetryRule.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rr;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Clock::time_point Now{1000s};
+
+RetryBudget filled() {
+  RetryBudget Budget;
+  for (int I = 0; I < 1000; ++I)
+    Budget.addRequest();
+  return Budget;
+}
+
+AttemptHistory history() {
+  AttemptHistory Result;
+  Result.IdempotentMethod = true;
+  Result.Deadline = Now + 1s;
+  return Result;
+}
+
+RetryDecision decide(const AttemptHistory &History) {
+  RetryBudget Budget = filled();
+  return mayRetry(History, Budget, Now);
+}
+
+} // namespace
+
+// Guards against a second run of a request that may have run.
+TEST_CASE("Only an idempotent request without a claim is sent twice") {
+  auto History = history();
+  CHECK(decide(History) == RetryDecision::Retry);
+  History.MayHaveLeft = true;
+  CHECK(decide(History) == RetryDecision::Retry);
+  History.HasClaim = true;
+  CHECK(decide(History) == RetryDecision::RefuseUnknown);
+  History.HasClaim = false;
+  History.IdempotentMethod = isIdempotentMethod("POST");
+  CHECK(decide(History) == RetryDecision::RefuseUnknown);
+  History.MayHaveLeft = false;
+  CHECK(decide(History) == RetryDecision::Retry);
+}
+
+// Guards against each limit being ignored, and against an untrue refusal.
+TEST_CASE("Each limit refuses, with the truth about the attempts") {
+  auto Late = history(), Often = history(), Suspect = history();
+  Late.Deadline = Now + 49ms;
+  Often.Attempts = 3;
+  Suspect.Suspect = true;
+  for (AttemptHistory *History : {&Late, &Often, &Suspect}) {
+    CHECK(decide(*History) == RetryDecision::RefuseNotRun);
+    History->MayHaveLeft = true;
+    CHECK(decide(*History) == RetryDecision::RefuseUnknown);
+  }
+  RetryBudget Empty;
+  CHECK(mayRetry(history(), Empty, Now) == RetryDecision::RefuseNotRun);
+}
+
+// Guards against a failing service that gets a multiple of its load, and
+// against a quiet time that saves up retries without bound.
+TEST_CASE("Retries stay within a tenth of the requests plus the reserve") {
+  RetryBudget Budget = filled();
+  int Retries = 0;
+  for (int Request = 0; Request < 10000; ++Request) {
+    Budget.addRequest();
+    auto History = history();
+    for (; mayRetry(History, Budget, Now) == RetryDecision::Retry; ++Retries)
+      ++History.Attempts;
+  }
+  CHECK(Retries >= 1000);
+  CHECK(Retries <= 1000 + static_cast<int>(RetryBudget::DefaultReserve));
+}
+
+// Guards against refused retries that use up the budget.
+TEST_CASE("A refusal takes nothing from the budget") {
+  RetryBudget Budget;
+  for (int I = 0; I < 10; ++I)
+    Budget.addRequest();
+  auto Suspect = history();
+  Suspect.Suspect = true;
+  CHECK(mayRetry(Suspect, Budget, Now) == RetryDecision::RefuseNotRun);
+  CHECK(mayRetry(history(), Budget, Now) == RetryDecision::Retry);
+  CHECK(mayRetry(history(), Budget, Now) == RetryDecision::RefuseNotRun);
+}
