Add quarantine of crash-causing requests

Conclusion: all requests that die in an unexplained crash become suspect, and only a second crash blocks.

--- /dev/null
+++ b/src/features/quarantine/CrashEvidence.h
@@ -0,0 +1,70 @@
+#ifndef REDWINGRACK_QUARANTINE_CRASHEVIDENCE_H
+#define REDWINGRACK_QUARANTINE_CRASHEVIDENCE_H
+
+#include "base/Clock.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace rr {
+
+/// Tells the crash of a server from a lost connection, by what the server's
+/// owner sees. Bounded: servers and requests per server.
+class CrashEvidence {
+public:
+  struct Crash {
+    /// The same for all requests of one crash.
+    std::string Id;
+    /// Fingerprints that died with the server and were not reported before.
+    std::vector<std::string> Fingerprints;
+  };
+
+  /// \p Source makes crash ids unique: instance name and incarnation.
+  explicit CrashEvidence(std::string Source);
+
+  /// A connection ended without an answer to the request that was sent at
+  /// \p Started. Returns a crash when enough requests on the server ended at
+  /// this moment, or when the request died in a crash already known.
+  std::optional<Crash> connectionEnded(const std::string &Fingerprint,
+                                       const std::string &Server,
+                                       Clock::time_point Started,
+                                       Clock::time_point Now);
+  /// A new connection to the server was refused. Returns a crash when
+  /// requests died there shortly before.
+  std::optional<Crash> connectionRefused(const std::string &Server,
+                                         Clock::time_point Now);
+
+private:
+  struct Death {
+    std::string Fingerprint;
+    Clock::time_point Started;
+    Clock::time_point Time;
+    bool Reported = false;
+  };
+  struct ServerState {
+    std::deque<Death> Deaths;
+    std::string CrashId;
+    Clock::time_point CrashTime;
+
+    bool diedInLastCrash(Clock::time_point Started) const {
+      return !this->CrashId.empty() && Started <= this->CrashTime;
+    }
+  };
+
+  std::optional<Crash> report(ServerState &State, Clock::duration Window,
+                              Clock::time_point Now);
+  void forgetOld(Clock::time_point Now);
+
+  std::string Source;
+  std::uint64_t LastCrash = 0;
+  std::map<std::string, ServerState> Servers;
+};
+
+} // namespace rr
+
+#endif // REDWINGRACK_QUARANTINE_CRASHEVIDENCE_H
--- /dev/null
+++ b/src/features/quarantine/CrashGuard.cpp
@@ -0,0 +1,141 @@
+#include "quarantine/CrashGuard.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rr {
+
+namespace {
+
+constexpr std::size_t CrashesOfBlocked = 2;
+
+} // namespace
+
+CrashGuard::CrashGuard(std::string Source) : Evidence(std::move(Source)) {}
+
+CrashGuard::Verdict CrashGuard::check(const std::string &Fingerprint,
+                                      Clock::time_point Now) const {
+  const auto Found = this->Records.find(Fingerprint);
+  if (Found == this->Records.end() || Found->second.expiry() <= Now)
+    return Verdict::Free;
+  const std::size_t Crashes = Found->second.liveCrashes();
+  if (Crashes == 0)
+    return Verdict::Free;
+  return Crashes >= CrashesOfBlocked ? Verdict::Blocked : Verdict::Suspect;
+}
+
+bool CrashGuard::beginTrial(const std::string &Fingerprint,
+                            const std::string &Server,
+                            Clock::time_point Deadline, Clock::time_point Now) {
+  for (auto Next = this->Trials.begin(); Next != this->Trials.end();)
+    Next = Next->second.Deadline <= Now ? this->Trials.erase(Next)
+                                        : std::next(Next);
+  const bool ServerInUse = std::any_of(
+      this->Trials.begin(), this->Trials.end(),
+      [&](const auto &Open) { return Open.second.Server == Server; });
+  if (ServerInUse || this->check(Fingerprint, Now) == Verdict::Blocked)
+    return false;
+  return this->Trials.emplace(Fingerprint, Trial{Server, Deadline}).second;
+}
+
+void CrashGuard::endTrial(const std::string &Fingerprint) {
+  this->Trials.erase(Fingerprint);
+}
+
+std::optional<SuspectMessage>
+CrashGuard::answered(const std::string &Fingerprint, Clock::time_point Now) {
+  if (this->check(Fingerprint, Now) != Verdict::Suspect)
+    return std::nullopt;
+  return this->clear(Fingerprint, Now);
+}
+
+std::optional<SuspectMessage> CrashGuard::clear(const std::string &Fingerprint,
+                                                Clock::time_point Now) {
+  const auto Found = this->Records.find(Fingerprint);
+  if (Found == this->Records.end())
+    return std::nullopt;
+  SuspectRecord News;
+  for (const auto &[Id, Until] : Found->second.Crashes)
+    News.Cleared[Id] = Now + SuspicionTime;
+  return this->add(Fingerprint, News, Now);
+}
+
+std::vector<SuspectMessage>
+CrashGuard::connectionEnded(const std::string &Fingerprint,
+                            const std::string &Server,
+                            Clock::time_point Started, Clock::time_point Now) {
+  return this->blame(
+      this->Evidence.connectionEnded(Fingerprint, Server, Started, Now), Now);
+}
+
+std::vector<SuspectMessage>
+CrashGuard::connectionRefused(const std::string &Server,
+                              Clock::time_point Now) {
+  return this->blame(this->Evidence.connectionRefused(Server, Now), Now);
+}
+
+std::vector<SuspectMessage>
+CrashGuard::blame(const std::optional<CrashEvidence::Crash> &Seen,
+                  Clock::time_point Now) {
+  std::vector<SuspectMessage> Result;
+  if (!Seen)
+    return Result;
+  const auto IsKnown = [&](const std::string &Fingerprint) {
+    return this->check(Fingerprint, Now) != Verdict::Free;
+  };
+  // A suspect explains the crash; the requests that died beside it are not
+  // blamed. Without one nobody can tell which request it was.
+  const bool Explained = std::any_of(Seen->Fingerprints.begin(),
+                                     Seen->Fingerprints.end(), IsKnown);
+  for (const std::string &Fingerprint : Seen->Fingerprints) {
+    if (Explained && !IsKnown(Fingerprint))
+      continue;
+    SuspectRecord News;
+    News.Crashes[Seen->Id] = Now + SuspicionTime;
+    Result.push_back(this->add(Fingerprint, News, Now));
+  }
+  return Result;
+}
+
+SuspectMessage CrashGuard::add(const std::string &Fingerprint,
+                               const SuspectRecord &News,
+                               Clock::time_point Now) {
+  SuspectRecord &Known = this->Records[Fingerprint];
+  Known.merge(News);
+  SuspectMessage Result{Fingerprint, Known};
+  this->makeRoom(Now);
+  return Result;
+}
+
+void CrashGuard::merge(const SuspectMessage &Received, Clock::time_point Now) {
+  if (Received.Record.expiry() <= Now)
+    return;
+  this->add(Received.Fingerprint, Received.Record, Now);
+}
+
+std::vector<SuspectMessage> CrashGuard::snapshot(Clock::time_point Now) const {
+  std::vector<SuspectMessage> Result;
+  for (const auto &[Fingerprint, Record] : this->Records)
+    if (Record.expiry() > Now)
+      Result.push_back({Fingerprint, Record});
+  return Result;
+}
+
+// Drops what has expired; when full, the record that would expire first, by a
+// total order, so that instances with the same records keep the same ones.
+void CrashGuard::makeRoom(Clock::time_point Now) {
+  if (this->Records.size() <= MostFingerprints)
+    return;
+  for (auto Next = this->Records.begin(); Next != this->Records.end();)
+    Next = Next->second.expiry() <= Now ? this->Records.erase(Next)
+                                        : std::next(Next);
+  while (this->Records.size() > MostFingerprints)
+    this->Records.erase(
+        std::min_element(this->Records.begin(), this->Records.end(),
+                         [](const auto &Left, const auto &Right) {
+                           return std::pair(Left.second.expiry(), Left.first) <
+                                  std::pair(Right.second.expiry(), Right.first);
+                         }));
+}
+
+} // namespace rr
--- /dev/null
+++ b/src/features/quarantine/CrashGuard.h
@@ -0,0 +1,90 @@
+#ifndef REDWINGRACK_QUARANTINE_CRASHGUARD_H
+#define REDWINGRACK_QUARANTINE_CRASHGUARD_H
+
+#include "quarantine/CrashEvidence.h"
+#include "quarantine/SuspectMessage.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace rr {
+
+/// Keeps a request that crashes servers from doing so again and again.
+///
+/// The owner of a server reports ended connections; what the guard then
+/// returns has to reach all instances before the caller gets its answer.
+class CrashGuard {
+public:
+  enum class Verdict : std::uint8_t {
+    Free,
+    /// Run it only at trialOwner(), between beginTrial() and endTrial().
+    Suspect,
+    /// 422 `not_run`, reason `request_blocked`.
+    Blocked,
+  };
+
+  static constexpr Clock::duration SuspicionTime = std::chrono::minutes(10);
+  static constexpr std::size_t MostFingerprints = 4096;
+
+  /// \p Source is the instance name with its incarnation.
+  explicit CrashGuard(std::string Source);
+
+  Verdict check(const std::string &Fingerprint, Clock::time_point Now) const;
+
+  /// Begins the single run of a suspect, here and on \p Server. False while
+  /// another run of it, or of another suspect on that server, goes on; the
+  /// request then waits or is refused `not_run`. A trial lapses at
+  /// \p Deadline. Called by the trial owner, and by the server's owner.
+  bool beginTrial(const std::string &Fingerprint, const std::string &Server,
+                  Clock::time_point Deadline, Clock::time_point Now);
+  void endTrial(const std::string &Fingerprint);
+
+  /// The server answered the request in full: clears a suspect. Returns what
+  /// to publish.
+  std::optional<SuspectMessage> answered(const std::string &Fingerprint,
+                                         Clock::time_point Now);
+  /// A connection ended without an answer to a request that was sent at
+  /// \p Started. Whoever reports it tries a new
+  /// connection to the server before the caller is answered, and reports a
+  /// refusal. Returns what to publish.
+  std::vector<SuspectMessage> connectionEnded(const std::string &Fingerprint,
+                                              const std::string &Server,
+                                              Clock::time_point Started,
+                                              Clock::time_point Now);
+  std::vector<SuspectMessage> connectionRefused(const std::string &Server,
+                                                Clock::time_point Now);
+
+  /// Takes a message of another instance.
+  void merge(const SuspectMessage &Received, Clock::time_point Now);
+  /// All records, for an instance that starts or comes back.
+  std::vector<SuspectMessage> snapshot(Clock::time_point Now) const;
+  /// An operator's order to forget a fingerprint. Returns what to publish.
+  std::optional<SuspectMessage> clear(const std::string &Fingerprint,
+                                      Clock::time_point Now);
+
+  std::size_t size() const { return this->Records.size(); }
+
+private:
+  struct Trial {
+    std::string Server;
+    Clock::time_point Deadline;
+  };
+
+  std::vector<SuspectMessage>
+  blame(const std::optional<CrashEvidence::Crash> &Seen, Clock::time_point Now);
+  SuspectMessage add(const std::string &Fingerprint, const SuspectRecord &News,
+                     Clock::time_point Now);
+  void makeRoom(Clock::time_point Now);
+
+  CrashEvidence Evidence;
+  std::map<std::string, SuspectRecord> Records;
+  std::map<std::string, Trial> Trials;
+};
+
+} // namespace rr
+
+#endif // REDWINGRACK_QUARANTINE_CRASHGUARD_H
