--- a/src/features/forwarding/RequestPipeline.cpp
+++ b/src/features/forwarding/RequestPipeline.cpp
@@ -4,8 +4,11 @@
 #include "forwarding/HeaderRules.h"
 #include "forwarding/KeyScrubber.h"
 #include "forwarding/Refusal.h"
+#include "idempotency/ClaimStore.h"
 #include "logging/EventLog.h"
 #include "model/FleetConfig.h"
+#include "quarantine/Fingerprint.h"
+#include "retry/RetryRule.h"
 #include "telemetry/Metrics.h"
 #include "telemetry/SpanExporter.h"
 
@@ -70,6 +73,10 @@
 }
 
 Refusal refusalOf(const DispatchResult &Result) {
+  if (Result.Reason == "request_blocked")
+    return notRun(422, Result.Reason,
+                  "this request crashed two backend servers and is refused "
+                  "for a while");
   const bool NotRun = Result.Outcome == Execution::NotRun;
   return {NotRun ? 503 : 502, Result.Outcome, Result.Reason,
           NotRun ? "no backend server has run the request"
@@ -77,6 +84,41 @@
           Result.RetryAfter};
 }
 
+Refusal claimRefusal(ClaimResult::Kind Kind) {
+  switch (Kind) {
+  case ClaimResult::Kind::Unknown:
+    return {409, Execution::Unknown, "order_outcome_unknown",
+            "a request with this Idempotency-Key was begun and its outcome is "
+            "not recorded",
+            ShortRetryAfter};
+  case ClaimResult::Kind::OtherRequest:
+    return notRun(422, "idempotency_key_reused",
+                  "the Idempotency-Key was used for another request");
+  default:
+    return notRun(503, "store_unavailable",
+                  "the Idempotency-Key cannot be claimed now", ShortRetryAfter);
+  }
+}
+
+HttpResponse replayOf(const RecordedAnswer &Answer) {
+  HttpResponse Response;
+  Response.Status = Answer.Status;
+  for (const auto &[Name, Value] : Answer.Headers)
+    Response.Headers.push_back({Name, Value});
+  Response.Headers.push_back({"Idempotent-Replayed", "true"});
+  Response.Body = Answer.Body;
+  return Response;
+}
+
+RecordedAnswer recordOf(const HttpResponse &Response) {
+  RecordedAnswer Result;
+  Result.Status = Response.Status;
+  for (const HttpHeader &Field : Response.Headers)
+    Result.Headers.emplace_back(Field.Name, Field.Value);
+  Result.Body = Response.Body;
+  return Result;
+}
+
 } // namespace
 
 RequestPipeline::RequestPipeline(RequestServices Services, Metrics &Counters,
@@ -105,12 +147,9 @@
   const auto Caller = parseTraceParent(TraceParent ? *TraceParent : "");
   SpanScope Span(this->Spans, "request", Caller ? &*Caller : nullptr);
   const auto Refuse = [&](const Refusal &Why) {
-    this->Counters.add(
-        Metric::Refusals,
-        {{"reason", Why.Reason}, {"outcome", executionName(Why.Outcome)}});
     Span.set("reason", Why.Reason);
     Span.fail();
-    return refusalResponse(Why);
+    return this->refuse(Why);
   };
 
   const auto Config = this->Services.Config();
@@ -135,10 +174,7 @@
 
   DispatchRequest Next;
   Next.Headers = headersForServer(Request.Headers);
-  const KeyScrubber Scrubber{[&](const std::string &Text) {
-    return this->Services.Authenticate(Text).Result ==
-           KeyDecision::Kind::Accepted;
-  }};
+  const KeyScrubber Scrubber{this->Services.IsKey};
   if (carriesKey(Scrubber, Request.Path, Next.Headers, Request.Body, Key))
     co_return Refuse(notRun(400, "key_in_request",
                             "the key may stand in the Authorization header "
@@ -160,11 +196,91 @@
   Next.Deadline = Deadline;
   Next.Trace = Span.context();
   Next.Cancel = Request.Cancel;
-  const DispatchResult Result = co_await this->Services.Dispatch(Next);
+  Next.MayRetry = isIdempotentMethod(Request.Method);
+  Next.Fingerprint =
+      fingerprintOf(Workspace, Request.Method, Request.Path, Request.Body);
+  if (!Taken->Open)
+    Next.MayStillRun = [this, Key] {
+      return this->Services.Authenticate(Key).Result ==
+             KeyDecision::Kind::Accepted;
+    };
+  this->Retries.addRequest();
+  if (this->Services.OnAdmitted)
+    this->Services.OnAdmitted(Next);
+  const bool HasKey =
+      findHeader(Request.Headers, "Idempotency-Key") && !Workspace.empty();
+  if (HasKey && this->Services.Claims)
+    co_return co_await this->runClaimed(std::move(Next));
+  const DispatchResult Result =
+      co_await this->runWithRetries(std::move(Next), false);
   Span.set("server", Result.Server);
   if (!Result.Answered)
     co_return Refuse(refusalOf(Result));
   co_return answerOf(Result);
 }
 
+HttpResponse RequestPipeline::refuse(const Refusal &Why) {
+  this->Counters.add(
+      Metric::Refusals,
+      {{"reason", Why.Reason}, {"outcome", executionName(Why.Outcome)}});
+  return refusalResponse(Why);
+}
+
+asio::awaitable<HttpResponse>
+RequestPipeline::runClaimed(DispatchRequest Next) {
+  const std::string OrderKey = *findHeader(Next.Headers, "Idempotency-Key");
+  const std::string Digest =
+      ClaimStore::digestOf(Next.Method, Next.Target, Next.Body);
+  ClaimStore &Claims = *this->Services.Claims;
+  const ClaimResult Claimed =
+      co_await Claims.claim(Next.Workspace, OrderKey, Digest);
+  if (Claimed.What == ClaimResult::Kind::Replay)
+    co_return replayOf(Claimed.Answer);
+  if (Claimed.What != ClaimResult::Kind::Run)
+    co_return this->refuse(claimRefusal(Claimed.What));
+  const DispatchResult Result =
+      co_await this->runWithRetries(std::move(Next), true);
+  if (!Result.Answered) {
+    if (Result.Outcome == Execution::NotRun)
+      co_await Claims.release(Claimed.Held);
+    co_return this->refuse(refusalOf(Result));
+  }
+  HttpResponse Response = answerOf(Result);
+  RecordedAnswer Record = recordOf(Response);
+  // A repeat gets `unknown` when the outcome cannot be recorded.
+  co_await Claims.recordAnswer(Claimed.Held, std::move(Record));
+  co_return Response;
+}
+
+asio::awaitable<DispatchResult>
+RequestPipeline::runWithRetries(DispatchRequest Next, bool HasClaim) {
+  AttemptHistory History;
+  History.IdempotentMethod = Next.MayRetry;
+  History.HasClaim = HasClaim;
+  History.Deadline = Next.Deadline;
+  for (;;) {
+    DispatchResult Result = co_await this->Services.Dispatch(Next);
+    const bool Gone = Next.Cancel && Next.Cancel->isCancelled();
+    if (Result.Answered || Gone || Result.Reason == "request_blocked")
+      co_return Result;
+    History.MayHaveLeft =
+        History.MayHaveLeft || Result.Outcome == Execution::Unknown;
+    History.Suspect =
+        this->Services.IsSuspect && this->Services.IsSuspect(Next.Fingerprint);
+    const RetryDecision Decision =
+        mayRetry(History, this->Retries, Clock::now());
+    if (Decision != RetryDecision::Retry) {
+      // An earlier attempt may have run although the last one did not.
+      Result.Outcome = Decision == RetryDecision::RefuseNotRun
+                           ? Execution::NotRun
+                           : Execution::Unknown;
+      co_return Result;
+    }
+    ++History.Attempts;
+    this->Counters.add(Metric::Retries, {{"route", Next.Route}});
+    if (!Result.Server.empty())
+      Next.TriedServers.push_back(Result.Server);
+  }
+}
+
 } // namespace rr
--- a/src/features/forwarding/RequestPipeline.h
+++ b/src/features/forwarding/RequestPipeline.h
@@ -4,10 +4,12 @@
 #include "forwarding/RequestServices.h"
 #include "httpserver/HttpResponse.h"
 #include "httpserver/HttpServerRequest.h"
+#include "retry/RetryBudget.h"
 
 namespace rr {
 
 class Metrics;
+struct Refusal;
 class SpanExporter;
 
 /// The path of a caller's request: route, key, rate, attempts, answer.
@@ -24,10 +26,15 @@
   asio::awaitable<HttpResponse> serve(const HttpServerRequest &Request,
                                       std::string &RouteName,
                                       std::string &Workspace);
+  asio::awaitable<HttpResponse> runClaimed(DispatchRequest Next);
+  asio::awaitable<DispatchResult> runWithRetries(DispatchRequest Next,
+                                                 bool HasClaim);
+  HttpResponse refuse(const Refusal &Why);
 
   RequestServices Services;
   Metrics &Counters;
   SpanExporter *Spans;
+  RetryBudget Retries;
 };
 
 } // namespace rr
--- /dev/null
+++ b/src/features/instance/BackendNetwork.h
@@ -0,0 +1,25 @@
+#ifndef REDWINGRACK_INSTANCE_BACKENDNETWORK_H
+#define REDWINGRACK_INSTANCE_BACKENDNETWORK_H
+
+#include "forwarding/DispatchRequest.h"
+#include "forwarding/DispatchResult.h"
+#include "model/BackendServer.h"
+
+#include <asio/awaitable.hpp>
+#include <functional>
+
+namespace rr {
+
+/// Connections to backend servers as functions.
+struct BackendNetwork {
+  /// Sends a request to a server once.
+  std::function<asio::awaitable<DispatchResult>(BackendServer Server,
+                                                DispatchRequest Request)>
+      Attempt;
+  /// Whether a new connection to the server is accepted now.
+  std::function<asio::awaitable<bool>(BackendServer Server)> Probe;
+};
+
+} // namespace rr
+
+#endif // REDWINGRACK_INSTANCE_BACKENDNETWORK_H
--- /dev/null
+++ b/src/features/instance/LinkKeeper.h
@@ -0,0 +1,37 @@
+#ifndef REDWINGRACK_INSTANCE_LINKKEEPER_H
+#define REDWINGRACK_INSTANCE_LINKKEEPER_H
+
+#include "instance/PeerNetwork.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace rr {
+
+class ControlNode;
+
+/// Opens the links that this instance needs and closes the others.
+class LinkKeeper {
+public:
+  LinkKeeper(ControlNode &Control, const PeerNetwork &Network);
+
+  asio::awaitable<void> run();
+  void stop() { this->Stopping = true; }
+  /// Keeps a link to a peer for a while after a request went there.
+  void keep(const std::string &Peer);
+
+private:
+  std::set<std::string> wanted(Clock::time_point Now);
+
+  ControlNode &Control;
+  const PeerNetwork &Network;
+  std::set<std::string> Linked;
+  /// Links that requests use, with the time at which they may be closed.
+  std::map<std::string, Clock::time_point> InUse;
+  bool Stopping = false;
+};
+
+} // namespace rr
+
+#endif // REDWINGRACK_INSTANCE_LINKKEEPER_H
--- a/src/features/keys/ControlNode.cpp
+++ b/src/features/keys/ControlNode.cpp
@@ -185,6 +185,8 @@
     static_cast<void>(co_await this->fetchMembers(Peer));
   if (StartsUp || Gap.State) {
     static_cast<void>(co_await this->fetchConfig(Peer));
+    if (this->Shares)
+      co_await this->Shares(this->ShareEpoch, Peer);
     static_cast<void>(co_await this->fetchKeys(Peer));
   }
   this->InFlight.erase("fill " + Peer);
--- a/src/features/keys/ControlNode.h
+++ b/src/features/keys/ControlNode.h
@@ -55,6 +55,16 @@
   PeerExchange &exchange() { return this->Exchange; }
   /// The share table that this instance has in force.
   void setShareEpoch(std::uint64_t Epoch);
+  /// Registers how a newer share table is taken over: from the store when the
+  /// peer is empty. It calls setShareEpoch() when that succeeds.
+  using FollowShares = std::function<asio::awaitable<void>(std::uint64_t Epoch,
+                                                           std::string Peer)>;
+  void onShares(FollowShares Follow) { this->Shares = std::move(Follow); }
+  /// A peer says that control state has changed: reads the store at the next
+  /// tick.
+  void hint();
+  /// Whether the last read of the store failed.
+  bool isStoreDown() const { return this->StoreDown; }
 
 private:
   void startMessages(Clock::time_point Now);
@@ -87,6 +97,9 @@
   KeySet Keys;
   ConfigStore Config;
   std::uint64_t ShareEpoch = 0;
+  FollowShares Shares;
+  bool StoreDown = false;
+  bool Hinted = false;
   std::map<KeyHash, WithdrawalTracker> Withdrawals;
   /// Next time for a message, by purpose and peer.
   std::map<std::string, Clock::time_point> NextSend;
--- a/src/features/keys/ControlNodeStore.cpp
+++ b/src/features/keys/ControlNodeStore.cpp
@@ -18,15 +18,20 @@
 
 } // namespace
 
+void ControlNode::hint() { this->Hinted = true; }
+
 void ControlNode::startStoreRound(Clock::time_point Now) {
   Clock::duration Period = this->Exchange.headReadPeriod(Now);
   // Until it is synchronised, and while withdrawals wait for the store, an
   // instance reads by itself.
   if (!this->Freshness.isSynchronised() || !this->Keys.pending().empty())
     Period = HeadReadPeriod;
-  if (Period == Clock::duration::zero() || this->StoreBusy ||
-      Now < this->NextStoreRound)
+  // Every relay follows a hint; members take the change from their relays.
+  const bool FollowHint = this->Hinted && this->Members.isRelay(Now);
+  if (this->StoreBusy || (!FollowHint && (Period == Clock::duration::zero() ||
+                                          Now < this->NextStoreRound)))
     return;
+  this->Hinted = false;
   this->NextStoreRound = Now + Period;
   this->StoreBusy = true;
   asio::co_spawn(this->Executor, this->storeRound(), asio::detached);
@@ -50,11 +55,15 @@
 
 asio::awaitable<Outcome<void>> ControlNode::followHead() {
   const auto View = co_await readHead(this->Store);
+  this->StoreDown = !View.has_value();
   if (!View)
     co_return tl::unexpected<std::error_code>(View.error());
   const auto Adopted = co_await this->Config.follow(this->Store, View->Head);
   const auto Followed =
       co_await followKeys(this->Store, this->Keys, View->Head.Versions.Keys);
+  const std::uint64_t Epoch = View->Head.Versions.ShareEpoch;
+  if (this->Shares && Epoch > this->ShareEpoch)
+    co_await this->Shares(Epoch, std::string());
   this->refreshHeld();
   this->Freshness.noteRead(View->Start, View->Head.Versions);
   if (!Adopted)
--- a/src/features/membership/LeaseKeeper.cpp
+++ b/src/features/membership/LeaseKeeper.cpp
@@ -72,6 +72,13 @@
   co_return Result;
 }
 
+std::optional<RowWrite> LeaseKeeper::fenceCheck(Clock::time_point Now) const {
+  if (!this->isHeld(Now))
+    return std::nullopt;
+  return RowWrite{RowWrite::Kind::CheckOnly, this->rowKey(), "",
+                  this->RowVersion};
+}
+
 asio::awaitable<Outcome<void>> LeaseKeeper::commitFenced(const Platform &Store,
                                                          Transaction Writes,
                                                          std::string ProbeKey) {
--- a/src/features/membership/LeaseKeeper.h
+++ b/src/features/membership/LeaseKeeper.h
@@ -31,6 +31,10 @@
     return this->HeldUntil && Now < *this->HeldUntil;
   }
   std::uint64_t fence() const { return this->Fence; }
+  /// Check to add to a transaction that only the holder may make; empty when
+  /// the lease is not held. A renewal in between makes the transaction fail
+  /// with Errc::Conflict; it may then be repeated with a new check.
+  std::optional<RowWrite> fenceCheck(Clock::time_point Now) const;
   /// Stops holding it here; the row lapses by itself.
   void drop() { this->HeldUntil.reset(); }
 
