--- a/src/features/limits/AllocationMember.h
+++ b/src/features/limits/AllocationMember.h
@@ -7,13 +7,16 @@
 
 namespace rr {
 
-/// A member that the next epoch is to list. Members that ended, left or were
-/// silent beyond FreshnessLimit are left out, and lose their shares with it.
+/// A member that the next epoch is to list. Members that ended or left are left
+/// out, and lose their shares with it.
 struct AllocationMember {
   ShareHolder Holder;
   /// Latest report; none for a member that is known to live from elsewhere
   /// (the store) and keeps what the epoch before allocated to it.
   std::optional<DemandReport> Report;
+  /// Not heard of for FreshnessLimit, also not through the store. It loses its
+  /// shares and stays listed, so that it can receive new ones on its return.
+  bool Silent = false;
 };
 
 } // namespace rr
--- a/src/features/limits/AllocationReason.h
+++ b/src/features/limits/AllocationReason.h
@@ -10,7 +10,8 @@
   WorkspaceChanged,
   /// A holder ended, left or is silent.
   HolderGone,
-  /// A member has to be listed before it can receive shares.
+  /// A member has to be listed before it can receive shares. A new revision of
+  /// the row is enough.
   HolderAdded,
   /// Lost messages took shares out of circulation.
   SharesLost,
--- a/src/features/limits/Apportion.cpp
+++ b/src/features/limits/Apportion.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <numeric>
+#include <utility>
 
 namespace rr {
 
@@ -39,10 +40,9 @@
   }
   std::vector<std::size_t> Order(Parts.size());
   std::iota(Order.begin(), Order.end(), std::size_t{0});
-  std::stable_sort(Order.begin(), Order.end(),
-                   [&](std::size_t A, std::size_t B) {
-                     return Remainders[A] > Remainders[B];
-                   });
+  std::sort(Order.begin(), Order.end(), [&](std::size_t A, std::size_t B) {
+    return std::pair(-Remainders[A], A) < std::pair(-Remainders[B], B);
+  });
   for (std::size_t I = 0; Left > 0; I = (I + 1) % Order.size(), --Left)
     Result[Order[I]] += Grain;
   const auto Largest = std::max_element(Parts.begin(), Parts.end());
@@ -61,9 +61,31 @@
   return Result;
 }
 
+std::size_t homeCount(MicroRequests Burst, std::size_t Holders) {
+  return std::clamp<std::size_t>(std::size_t(Burst / BurstPerHome), 1,
+                                 std::max<std::size_t>(Holders, 1));
+}
+
 std::vector<ShareAmount> divideAllowance(const ShareAmount &Total,
-                                         std::vector<double> Weights) {
+                                         std::vector<double> Weights,
+                                         std::size_t Homes,
+                                         const std::vector<ShareAmount> &Held) {
+  std::vector<std::size_t> Order(Weights.size());
+  std::iota(Order.begin(), Order.end(), std::size_t{0});
+  const auto Score = [&](std::size_t I) {
+    // A single home has most of the burst, also while a part of it is lent.
+    if (Homes == 1)
+      return double(Held[I].Burst) + Weights[I];
+    const bool IsHome = 2 * Held[I].Burst >= BurstPerHome;
+    return Weights[I] * (IsHome ? HomeBonus : 1);
+  };
+  std::sort(Order.begin(), Order.end(), [&](std::size_t A, std::size_t B) {
+    return std::pair(-Score(A), A) < std::pair(-Score(B), B);
+  });
+  for (std::size_t I = Homes; I < Order.size(); ++I)
+    Weights[Order[I]] = 0;
   const auto Bursts = apportion(Total.Burst, Weights, OneRequest);
+  // Rate without room for a whole request would be wasted.
   if (Total.Burst >= OneRequest)
     for (std::size_t I = 0; I < Weights.size(); ++I)
       if (Bursts[I] < OneRequest)
--- a/src/features/limits/Apportion.h
+++ b/src/features/limits/Apportion.h
@@ -3,6 +3,7 @@
 
 #include "limits/ShareAmount.h"
 
+#include <cstddef>
 #include <vector>
 
 namespace rr {
@@ -19,11 +20,25 @@
 /// lets an instance admit its first requests before demand is known.
 std::vector<double> demandWeights(const std::vector<MicroRequests> &Demands);
 
-/// Divides rate and burst by \p Weights. Bursts are divided in whole requests,
-/// and rate goes only where a whole request can gather: a bucket that holds
-/// less than one request never admits, and its rate would be wasted.
+/// Number of holders that a burst is divided among. A bucket of one or two
+/// requests is nearly always full or empty and wastes its rate, so a small
+/// burst has fewer homes than there are holders, and the others borrow.
+std::size_t homeCount(MicroRequests Burst, std::size_t Holders);
+
+/// Divides \p Total by \p Weights among \p Homes of the holders: those with the
+/// largest weights, where a present holding in \p Held counts HomeBonus times,
+/// so that homes move only when the demand left them. A single home never
+/// moves: borrowers know where it is, and with a few requests a second the
+/// demand of one instance is mostly noise. Bursts are divided in whole
+/// requests.
 std::vector<ShareAmount> divideAllowance(const ShareAmount &Total,
-                                         std::vector<double> Weights);
+                                         std::vector<double> Weights,
+                                         std::size_t Homes,
+                                         const std::vector<ShareAmount> &Held);
+
+/// Keeps a home whose demand is above a 20th of that of another instance.
+constexpr double HomeBonus = 20;
+constexpr MicroRequests BurstPerHome = 8 * OneRequest;
 
 } // namespace rr
 
--- a/src/features/limits/BorrowPlanner.cpp
+++ b/src/features/limits/BorrowPlanner.cpp
@@ -23,7 +23,8 @@
     const MicroRequests Spare =
         std::max<MicroRequests>(Item.Held.Rate - Item.Demand, 0);
     this->Workspaces[Item.Workspace][Report.Holder] = {
-        Item.Held, Spare, Report.Epoch, Report.Region == this->Region, Now};
+        Item.Held, Spare, Report.Epoch, Report.Region == this->Region,
+        Now,       Now};
   }
 }
 
@@ -32,9 +33,12 @@
     Holders.erase(Holder);
 }
 
-MicroRequests BorrowPlanner::expectedTokens(const Known &Entry,
+MicroRequests BorrowPlanner::expectedTokens(const Known &Entry, bool SingleHome,
                                             Clock::time_point Now) {
   const double Age = std::chrono::duration<double>(Now - Entry.At).count();
+  if (SingleHome)
+    return Entry.Held.Tokens +
+           toMicroRequests(toRequests(Entry.Held.Rate) * Age);
   const double Grown = double(Entry.SpareRate) * std::max(Age, 0.0);
   const MicroRequests Room = Entry.Held.Burst - Entry.Held.Tokens;
   return Entry.Held.Tokens + MicroRequests(std::min(Grown, double(Room)));
@@ -43,7 +47,8 @@
 std::vector<BorrowRequest>
 BorrowPlanner::plan(const std::string &Workspace, std::uint64_t Epoch,
                     MicroRequests Wanted, MicroRequests Needed,
-                    MicroRequests Gathered, Clock::time_point Now) {
+                    MicroRequests Gathered, bool SingleHome,
+                    Clock::time_point Now) {
   struct Candidate {
     const ShareHolder *Holder;
     Known *Entry;
@@ -52,8 +57,9 @@
   std::vector<Candidate> Candidates;
   MicroRequests Sum = 0;
   for (auto &[Holder, Entry] : this->Workspaces[Workspace]) {
-    const MicroRequests Tokens = expectedTokens(Entry, Now);
-    if (Entry.Epoch != Epoch || Tokens < LeastTokens)
+    const MicroRequests Tokens = expectedTokens(Entry, SingleHome, Now);
+    if (Entry.Epoch != Epoch || Tokens < LeastTokens ||
+        Now - Entry.ReportedAt >= FreshnessLimit)
       continue;
     Candidates.push_back({&Holder, &Entry, Tokens});
     Sum += Tokens;
@@ -65,10 +71,12 @@
   const auto Score = [&](const Candidate &Item) {
     return std::pair(Item.Entry->Near && Item.Tokens >= Wanted, Item.Tokens);
   };
-  std::stable_sort(Candidates.begin(), Candidates.end(),
-                   [&](const Candidate &A, const Candidate &B) {
-                     return Score(A) > Score(B);
-                   });
+  std::sort(Candidates.begin(), Candidates.end(),
+            [&](const Candidate &A, const Candidate &B) {
+              if (Score(A) != Score(B))
+                return Score(A) > Score(B);
+              return *A.Holder < *B.Holder;
+            });
   std::vector<BorrowRequest> Result;
   for (const Candidate &Item : Candidates) {
     if (Wanted <= 0 || Result.size() == MaxLenders)
--- a/src/features/limits/BorrowPlanner.h
+++ b/src/features/limits/BorrowPlanner.h
@@ -10,7 +10,8 @@
 
 namespace rr {
 
-/// Chooses whom to ask for tokens, from the reports of the other holders.
+/// Chooses whom to ask for tokens, from the reports of the other holders that
+/// are not older than FreshnessLimit.
 class BorrowPlanner {
 public:
   BorrowPlanner(ShareHolder Self, std::string Region);
@@ -23,11 +24,13 @@
   /// holders of the same region first; empty when the holders are
   /// not expected to have \p Needed altogether, so that a workspace that is
   /// used up costs no messages. What is asked for is not counted on again
-  /// before the next report.
+  /// before the next report. With \p SingleHome all that a holder's rate gives
+  /// is expected to be there: what it says of its own demand and of capacity
+  /// that is lent at the moment is too rough for a few requests a second.
   std::vector<BorrowRequest> plan(const std::string &Workspace,
                                   std::uint64_t Epoch, MicroRequests Wanted,
                                   MicroRequests Needed, MicroRequests Gathered,
-                                  Clock::time_point Now);
+                                  bool SingleHome, Clock::time_point Now);
 
   /// Most lenders that are asked at once.
   static constexpr std::size_t MaxLenders = 4;
@@ -40,9 +43,10 @@
     std::uint64_t Epoch = 0;
     bool Near = false;
     Clock::time_point At;
+    Clock::time_point ReportedAt;
   };
 
-  static MicroRequests expectedTokens(const Known &Entry,
+  static MicroRequests expectedTokens(const Known &Entry, bool SingleHome,
                                       Clock::time_point Now);
 
   ShareHolder Self;
--- a/src/features/limits/DemandMeter.h
+++ b/src/features/limits/DemandMeter.h
@@ -18,9 +18,8 @@
   MicroRequests demand(const std::string &Workspace,
                        Clock::time_point Now) const;
 
-  /// Time constant. 300 ms let the noise of slow workspaces move shares, 3 s
-  /// followed moving demand too late.
-  static constexpr std::chrono::milliseconds TimeConstant{1000};
+  /// Time constant. At 1 s, shares needed 2.7 s to follow by 85%.
+  static constexpr std::chrono::milliseconds TimeConstant{500};
 
 private:
   struct Average {
--- a/src/features/limits/FairQueue.cpp
+++ b/src/features/limits/FairQueue.cpp
@@ -10,7 +10,9 @@
 /// Smallest credit of a visit. It bounds the rounds that one dispatch can
 /// take; workspaces below a 64th of the largest weight share alike.
 constexpr double LeastQuantum = 1.0 / 64;
-constexpr double MostCredit = 1;
+/// Credit that one dispatch uses. Quanta that add up to one request may miss
+/// it by rounding.
+constexpr double DispatchCredit = 1 - 1e-9;
 /// Weight of a new sample in the average time between dispatches.
 constexpr double SampleWeight = 0.1;
 
@@ -33,13 +35,12 @@
 
 void FairQueue::activate(const std::string &Name, Flow &Entry) {
   this->Active.push_back(Name);
-  // Credit for the rounds that the flow sat out, up to one request: a light
-  // workspace is served on its first visit, and one that comes and goes
-  // cannot get more than its weight.
+  // Credit for the rounds that the flow sat out, so that it has at most one
+  // request's credit on its first visit: a light workspace is served then, and
+  // one that comes and goes cannot get more than its weight.
+  const double Quantum = quantum(Entry.Weight, this->largestActiveWeight());
   const double Missed = this->Round - Entry.IdleSince;
-  const double Credit =
-      Missed * quantum(Entry.Weight, this->largestActiveWeight());
-  Entry.Deficit = std::min(MostCredit, Entry.Deficit + Credit);
+  Entry.Deficit = std::min(1 - Quantum, Entry.Deficit + Missed * Quantum);
 }
 
 Outcome<void> FairQueue::push(QueuedRequest Request, Clock::time_point Now) {
@@ -51,7 +52,7 @@
   if (this->Size == 0) {
     this->LastDispatch.reset();
     // An idle queue owes nothing to anybody.
-    this->Round += MostCredit / LeastQuantum;
+    this->Round += 1 / LeastQuantum;
   }
   if (Entry.Waiting.empty())
     this->activate(Request.Workspace, Entry);
@@ -73,12 +74,12 @@
 
 void FairQueue::dropExpired(Flow &Entry, Clock::time_point Now,
                             std::vector<QueuedRequest> &Expired) {
-  const auto First = std::stable_partition(
-      Entry.Waiting.begin(), Entry.Waiting.end(),
-      [Now](const QueuedRequest &Item) { return Now < Item.Deadline; });
-  this->Size -= std::size_t(Entry.Waiting.end() - First);
-  std::move(First, Entry.Waiting.end(), std::back_inserter(Expired));
-  Entry.Waiting.erase(First, Entry.Waiting.end());
+  // Those behind the front are found when they get there.
+  while (!Entry.Waiting.empty() && Entry.Waiting.front().Deadline <= Now) {
+    Expired.push_back(std::move(Entry.Waiting.front()));
+    Entry.Waiting.pop_front();
+    --this->Size;
+  }
 }
 
 void FairQueue::noteDispatch(Clock::time_point Now) {
@@ -109,7 +110,7 @@
     if (!this->FrontCredited)
       Entry.Deficit += quantum(Entry.Weight, Largest);
     this->FrontCredited = true;
-    if (Entry.Deficit < 1) {
+    if (Entry.Deficit < DispatchCredit) {
       this->endVisit(true);
       continue;
     }
@@ -117,7 +118,7 @@
     QueuedRequest Result = std::move(Entry.Waiting.front());
     Entry.Waiting.pop_front();
     --this->Size;
-    if (Entry.Waiting.empty() || Entry.Deficit < 1)
+    if (Entry.Waiting.empty() || Entry.Deficit < DispatchCredit)
       this->endVisit(!Entry.Waiting.empty());
     this->noteDispatch(Now);
     return Result;
--- a/src/features/limits/FieldReader.cpp
+++ b/src/features/limits/FieldReader.cpp
@@ -42,6 +42,14 @@
   return 0;
 }
 
+bool FieldReader::flag(const char *Key) {
+  const nlohmann::json &Value = this->member(Key);
+  if (Value.is_boolean())
+    return Value.get<bool>();
+  this->fail();
+  return false;
+}
+
 MicroRequests FieldReader::amount(const char *Key) {
   const std::uint64_t Value = this->count(Key);
   if (Value <= std::uint64_t(MaxAmount))
--- a/src/features/limits/FieldReader.h
+++ b/src/features/limits/FieldReader.h
@@ -17,6 +17,7 @@
   /// A text of 1 to 256 bytes.
   std::string text(const char *Key);
   std::uint64_t count(const char *Key);
+  bool flag(const char *Key);
   /// 0 to MaxAmount.
   MicroRequests amount(const char *Key);
   ShareHolder holder(const char *Key);
--- a/src/features/limits/LimitsJson.cpp
+++ b/src/features/limits/LimitsJson.cpp
@@ -39,7 +39,8 @@
           {"sequence", Move.Sequence},
           {"epoch", Move.Epoch},
           {"workspace", Move.Workspace},
-          {"amount", toJson(Move.Amount)}};
+          {"amount", toJson(Move.Amount)},
+          {"borrowed", Move.Borrowed}};
 }
 
 json toJson(const BorrowRequest &Move) {
@@ -61,7 +62,8 @@
 ShareGrant readGrant(FieldReader &Reader) {
   return {Reader.holder("from"),    Reader.holder("to"),
           Reader.count("sequence"), Reader.count("epoch"),
-          Reader.text("workspace"), Reader.shareAmount("amount")};
+          Reader.text("workspace"), Reader.shareAmount("amount"),
+          Reader.flag("borrowed")};
 }
 
 BorrowRequest readBorrow(FieldReader &Reader) {
@@ -181,6 +183,7 @@
   for (const auto &[Name, Workspace] : Allocation.Workspaces)
     Workspaces.push_back(toJson(Workspace, Name, Index));
   return {{"epoch", Allocation.Epoch},
+          {"revision", Allocation.Revision},
           {"fence", Allocation.Fence},
           {"holders", std::move(Holders)},
           {"workspaces", std::move(Workspaces)}};
@@ -190,6 +193,7 @@
   FieldReader Reader(Row);
   ShareAllocation Result;
   Result.Epoch = Reader.count("epoch");
+  Result.Revision = Reader.count("revision");
   Result.Fence = Reader.count("fence");
   std::vector<ShareHolder> Holders;
   for (const json &Item : Reader.list("holders")) {
--- a/src/features/limits/ShareAccount.h
+++ b/src/features/limits/ShareAccount.h
@@ -11,6 +11,8 @@
   explicit ShareAccount(Clock::time_point Now) : Bucket(Now) {}
 
   TokenBucket Bucket;
+  /// The workspace's allowance over the whole fleet.
+  ShareAmount Total;
   /// Increase of the present epoch that is not usable yet.
   ShareAmount Pending;
 };
--- a/src/features/limits/ShareAllocation.h
+++ b/src/features/limits/ShareAllocation.h
@@ -11,6 +11,8 @@
 /// Contents of the row `shares/<epoch>`.
 struct ShareAllocation {
   std::uint64_t Epoch = 0;
+  /// Counts the changes of the row that only list more holders.
+  std::uint64_t Revision = 0;
   /// Fencing number of the lease under which the row was written.
   std::uint64_t Fence = 0;
   /// Everyone who may hold shares in this epoch, also those who start without.
--- a/src/features/limits/ShareAllocator.cpp
+++ b/src/features/limits/ShareAllocator.cpp
@@ -23,6 +23,8 @@
 ShareAmount baseOf(const ShareAllocation *Previous,
                    const AllocationMember &Member,
                    const std::string &Workspace) {
+  if (Member.Silent)
+    return {};
   if (const WorkspaceDemand *Demand = findDemand(Member, Workspace))
     return {std::clamp<MicroRequests>(Demand->Held.Rate, 0, MaxAmount),
             std::clamp<MicroRequests>(Demand->Held.Burst, 0, MaxAmount), 0};
@@ -67,15 +69,27 @@
   for (const AllocationMember &Member : Members) {
     Shares.push_back(baseOf(Previous, Member, Workspace));
     const WorkspaceDemand *Demand = findDemand(Member, Workspace);
-    Demands.push_back(Demand ? std::max<MicroRequests>(Demand->Demand, 0) : 0);
+    Demands.push_back(Demand && !Member.Silent
+                          ? std::max<MicroRequests>(Demand->Demand, 0)
+                          : 0);
   }
   cutTo(Shares, &ShareAmount::Rate, Total.Rate, 1);
   cutTo(Shares, &ShareAmount::Burst, Total.Burst, OneRequest);
   const ShareAmount Free = {Total.Rate - sumOf(Shares, &ShareAmount::Rate),
                             Total.Burst - sumOf(Shares, &ShareAmount::Burst),
                             0};
-  const auto Added = divideAllowance(Free, demandWeights(Demands));
+  auto Weights = demandWeights(Demands);
+  for (std::size_t I = 0; I < Members.size(); ++I)
+    if (Members[I].Silent)
+      Weights[I] = 0;
+    else if (Free.Burst < OneRequest)
+      // Without burst to give, free rate goes where there is burst already.
+      Weights[I] = double(Shares[I].Burst);
+  const auto Added = divideAllowance(
+      Free, Weights, homeCount(Total.Burst, Members.size()), Shares);
   for (std::size_t I = 0; I < Members.size(); ++I) {
+    if (Members[I].Silent)
+      continue;
     Shares[I].Rate += Added[I].Rate;
     Shares[I].Burst += Added[I].Burst;
     if (!Shares[I].isZero())
@@ -99,11 +113,19 @@
 
 void ShareAllocator::observe(const ShareAllocation &Present,
                              Clock::time_point Now) {
+  if (this->Present && Present.Epoch == this->Present->Epoch &&
+      Present.Revision > this->Present->Revision)
+    this->Present = Present;
   if (this->Present && Present.Epoch <= this->Present->Epoch)
     return;
   this->Present = Present;
   this->BarrierAt = Now + EpochBarrierTime;
-  this->LossSince.reset();
+  this->LossSince.clear();
+  this->Active.clear();
+  this->SilentSince.reset();
+  for (const auto &[Name, Workspace] : Present.Workspaces)
+    for (const auto &[Holder, Share] : Workspace.Shares)
+      this->Active.insert(Holder);
 }
 
 void ShareAllocator::confirmBarrier(std::uint64_t Epoch,
@@ -114,29 +136,54 @@
 
 bool ShareAllocator::hasLoss(const std::vector<AllocationMember> &Members,
                              Clock::time_point Now) {
-  bool Missing = false;
+  // Only reports of this epoch tell what is held in it.
+  for (const AllocationMember &Member : Members)
+    if (!Member.Silent &&
+        (!Member.Report || Member.Report->Epoch != this->Present->Epoch))
+      return false;
+  const auto IsShort = [](MicroRequests Has, MicroRequests Total) {
+    return double(Has) < (1 - LossPart) * double(Total);
+  };
+  bool Result = false;
   for (const auto &[Name, Workspace] : this->Present->Workspaces) {
     ShareAmount Sum;
-    for (const AllocationMember &Member : Members) {
-      // Only reports of this epoch tell what is held in it.
-      if (!Member.Report || Member.Report->Epoch != this->Present->Epoch)
-        return false;
-      if (const WorkspaceDemand *Demand = findDemand(Member, Name)) {
+    for (const AllocationMember &Member : Members)
+      if (const WorkspaceDemand *Demand = findDemand(Member, Name);
+          Demand && !Member.Silent) {
         Sum.Rate += Demand->Held.Rate;
         Sum.Burst += Demand->Held.Burst;
       }
-    }
-    const auto IsShort = [](MicroRequests Has, MicroRequests Total) {
-      return double(Has) < (1 - LossPart) * double(Total);
-    };
-    Missing = Missing || IsShort(Sum.Rate, Workspace.Total.Rate) ||
-              IsShort(Sum.Burst, Workspace.Total.Burst);
+    // Reports are of different moments, so shares that moved in between are
+    // missing now and then, but not all the time.
+    if (!IsShort(Sum.Rate, Workspace.Total.Rate) &&
+        !IsShort(Sum.Burst, Workspace.Total.Burst))
+      this->LossSince.erase(Name);
+    else
+      Result |=
+          Now - this->LossSince.emplace(Name, Now).first->second >= LossTime;
+  }
+  return Result;
+}
+
+bool ShareAllocator::hasHolderGone(const std::vector<AllocationMember> &Members,
+                                   Clock::time_point Now) {
+  std::set<ShareHolder> Listed;
+  bool IsSilent = false;
+  for (const AllocationMember &Member : Members) {
+    Listed.insert(Member.Holder);
+    if (!Member.Silent)
+      this->Active.insert(Member.Holder);
+    else
+      IsSilent |= this->Active.contains(Member.Holder);
   }
-  if (!Missing)
-    this->LossSince.reset();
-  else if (!this->LossSince)
-    this->LossSince = Now;
-  return Missing && Now - *this->LossSince >= LossTime;
+  if (!IsSilent)
+    this->SilentSince.reset();
+  else if (!this->SilentSince)
+    this->SilentSince = Now;
+  return (IsSilent && Now - *this->SilentSince >= SilenceTime) ||
+         !std::includes(Listed.begin(), Listed.end(),
+                        this->Present->Holders.begin(),
+                        this->Present->Holders.end());
 }
 
 std::optional<AllocationReason>
@@ -145,19 +192,16 @@
                       Clock::time_point Now) {
   if (!this->Present)
     return AllocationReason::NoAllocation;
+  for (const AllocationMember &Member : Members)
+    if (!this->Present->Holders.contains(Member.Holder))
+      return AllocationReason::HolderAdded;
+  const bool Gone = this->hasHolderGone(Members, Now);
   if (Now < this->BarrierAt)
     return std::nullopt;
   if (!sameAllowances(*this->Present, Allowances))
     return AllocationReason::WorkspaceChanged;
-  std::set<ShareHolder> Living;
-  for (const AllocationMember &Member : Members)
-    Living.insert(Member.Holder);
-  if (!std::includes(Living.begin(), Living.end(),
-                     this->Present->Holders.begin(),
-                     this->Present->Holders.end()))
+  if (Gone)
     return AllocationReason::HolderGone;
-  if (Living.size() > this->Present->Holders.size())
-    return AllocationReason::HolderAdded;
   if (this->hasLoss(Members, Now))
     return AllocationReason::SharesLost;
   return std::nullopt;
@@ -177,6 +221,16 @@
   return Result;
 }
 
+ShareAllocation addHolders(const ShareAllocation &Present, std::uint64_t Fence,
+                           const std::vector<AllocationMember> &Members) {
+  ShareAllocation Result = Present;
+  ++Result.Revision;
+  Result.Fence = Fence;
+  for (const AllocationMember &Member : Members)
+    Result.Holders.insert(Member.Holder);
+  return Result;
+}
+
 bool decreasesAcknowledged(const ShareAllocation &Previous, std::uint64_t Epoch,
                            const std::map<ShareHolder, std::uint64_t> &Adopted,
                            const std::set<ShareHolder> &Ended) {
--- a/src/features/limits/ShareAllocator.h
+++ b/src/features/limits/ShareAllocator.h
@@ -24,13 +24,18 @@
   /// Notes that the barrier of \p Epoch was reached early.
   void confirmBarrier(std::uint64_t Epoch, Clock::time_point Now);
 
-  /// Why a new epoch is due; none when it is not, or not yet.
+  /// Why a new epoch, or for HolderAdded a new revision, is due; none when it
+  /// is not, or not yet.
   std::optional<AllocationReason>
   isDue(const std::map<std::string, ShareAmount> &Allowances,
         const std::vector<AllocationMember> &Members, Clock::time_point Now);
 
   /// Time for which shares must be missing before they count as lost.
   static constexpr std::chrono::seconds LossTime{5};
+  /// Time for which silent holders are collected into one epoch. Those of one
+  /// partition fall silent within a heartbeat; without this time a second epoch
+  /// followed one barrier later.
+  static constexpr std::chrono::seconds SilenceTime{1};
   /// Part of an allowance that must be missing. Shares that are on their way
   /// while reports are made stay below it.
   static constexpr double LossPart = 0.02;
@@ -38,10 +43,18 @@
 private:
   bool hasLoss(const std::vector<AllocationMember> &Members,
                Clock::time_point Now);
+  bool hasHolderGone(const std::vector<AllocationMember> &Members,
+                     Clock::time_point Now);
 
   std::optional<ShareAllocation> Present;
   Clock::time_point BarrierAt;
-  std::optional<Clock::time_point> LossSince;
+  /// Since when shares of a workspace are missing.
+  std::map<std::string, Clock::time_point> LossSince;
+  /// Since when a holder that may hold shares is silent.
+  std::optional<Clock::time_point> SilentSince;
+  /// Holders that may hold shares: they had some in the row, or were heard of
+  /// since it was observed.
+  std::set<ShareHolder> Active;
 };
 
 /// The epoch after \p Previous (null for the first one): members keep what
@@ -52,6 +65,11 @@
                const std::map<std::string, ShareAmount> &Allowances,
                const std::vector<AllocationMember> &Members);
 
+/// \p Present with more holders, who have no shares yet. It takes effect at
+/// once: listing somebody raises nobody.
+ShareAllocation addHolders(const ShareAllocation &Present, std::uint64_t Fence,
+                           const std::vector<AllocationMember> &Members);
+
 /// True when every holder of \p Previous adopted \p Epoch or its process is
 /// known to have ended. A silent holder is not known to have ended.
 bool decreasesAcknowledged(const ShareAllocation &Previous, std::uint64_t Epoch,
--- a/src/features/limits/ShareBalancer.cpp
+++ b/src/features/limits/ShareBalancer.cpp
@@ -94,23 +94,26 @@
   }
 }
 
-void setWanted(std::vector<Position> &Places) {
+void setWanted(std::vector<Position> &Places, MicroRequests Burst) {
   ShareAmount Total;
   std::vector<MicroRequests> Demands;
+  std::vector<ShareAmount> Held;
   for (const Position &Place : Places) {
     Total.Rate += Place.Held.Rate;
     Total.Burst += Place.Held.Burst;
     Demands.push_back(Place.Demand);
+    Held.push_back(Place.Held);
   }
-  const auto Wanted = divideAllowance(Total, demandWeights(Demands));
+  const auto Wanted = divideAllowance(Total, demandWeights(Demands),
+                                      homeCount(Burst, Places.size()), Held);
   for (std::size_t I = 0; I < Places.size(); ++I)
     Places[I].Wanted = Wanted[I];
 }
 
-void planWorkspace(const std::string &Workspace, std::vector<Position> &Places,
-                   const std::string &OwnZone,
+void planWorkspace(const std::string &Workspace, MicroRequests Burst,
+                   std::vector<Position> &Places, const std::string &OwnZone,
                    std::vector<ShareRelease> &Result) {
-  setWanted(Places);
+  setWanted(Places, Burst);
   std::map<Pair, ShareAmount> Moves;
   matchPart(Places, &ShareAmount::Rate, 1, Moves);
   matchPart(Places, &ShareAmount::Burst, OneRequest / 2, Moves);
@@ -134,13 +137,11 @@
 } // namespace
 
 std::vector<ShareRelease> planReleases(const std::vector<DemandReport> &Reports,
-                                       const std::string &OwnZone) {
-  std::uint64_t Epoch = 0;
-  for (const DemandReport &Report : Reports)
-    Epoch = std::max(Epoch, Report.Epoch);
+                                       const std::string &OwnZone,
+                                       const ShareAllocation &Present) {
   std::map<ShareHolder, const DemandReport *> Current;
   for (const DemandReport &Report : Reports)
-    if (Report.Epoch == Epoch)
+    if (Report.Epoch == Present.Epoch)
       Current[Report.Holder] = &Report;
   std::map<std::string, std::vector<Position>> Workspaces;
   for (const auto &[Holder, Report] : Current)
@@ -149,7 +150,9 @@
           {Report, Item.Held, Item.Demand, {}});
   std::vector<ShareRelease> Result;
   for (auto &[Name, Places] : Workspaces)
-    planWorkspace(Name, Places, OwnZone, Result);
+    if (const auto Found = Present.Workspaces.find(Name);
+        Found != Present.Workspaces.end())
+      planWorkspace(Name, Found->second.Total.Burst, Places, OwnZone, Result);
   return Result;
 }
 
--- a/src/features/limits/ShareGrant.h
+++ b/src/features/limits/ShareGrant.h
@@ -16,6 +16,8 @@
   std::uint64_t Epoch = 0;
   std::string Workspace;
   ShareAmount Amount;
+  /// Answers a borrow request.
+  bool Borrowed = false;
 
   bool operator==(const ShareGrant &) const = default;
 };
--- a/src/features/limits/ShareLedger.cpp
+++ b/src/features/limits/ShareLedger.cpp
@@ -1,5 +1,7 @@
 #include "limits/ShareLedger.h"
 
+#include "limits/Apportion.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -39,10 +41,18 @@
 
 Outcome<void> ShareLedger::adopt(const ShareAllocation &Allocation,
                                  Clock::time_point Now) {
-  if (Allocation.Epoch <= this->Epoch || Allocation.Fence < this->Fence)
-    return failure(Errc::Stale);
   if (const Outcome<void> Checked = checkAllocation(Allocation); !Checked)
     return Checked;
+  const bool IsRevision =
+      Allocation.Epoch == this->Epoch && Allocation.Revision > this->Revision;
+  if (Allocation.Fence < this->Fence ||
+      (Allocation.Epoch <= this->Epoch && !IsRevision))
+    return failure(Errc::Stale);
+  this->Holders = Allocation.Holders;
+  this->Revision = Allocation.Revision;
+  this->Fence = Allocation.Fence;
+  if (IsRevision)
+    return {};
   this->applyIncreases(Now);
   // After a skipped epoch, other instances may already use the shares held
   // here, and may have spent the tokens. Nothing held counts then.
@@ -59,14 +69,13 @@
     TokenBucket &Bucket = Account.Bucket;
     Bucket.setRate(std::min(Bucket.rate(), Target.Rate), Now);
     Bucket.setCapacity(std::min(Bucket.capacity(), Target.Burst), Now);
+    Account.Total = Workspace.Total;
     Account.Pending = {Target.Rate - Bucket.rate(),
                        Target.Burst - Bucket.capacity(), 0};
     Next.emplace(Name, Account);
   }
   this->Accounts = std::move(Next);
-  this->Holders = Allocation.Holders;
   this->Epoch = Allocation.Epoch;
-  this->Fence = Allocation.Fence;
   this->Seen.clear();
   this->IncreaseAt = Now + EpochBarrierTime;
   return {};
@@ -158,8 +167,8 @@
   Bucket.withdraw(Amount.Tokens);
   Bucket.setRate(Bucket.rate() - Amount.Rate, Now);
   Bucket.setCapacity(Bucket.capacity() - Amount.Burst, Now);
-  return {this->Self,  Receiver,  ++this->LastSequence,
-          this->Epoch, Workspace, Amount};
+  return {this->Self, Receiver, ++this->LastSequence, this->Epoch, Workspace,
+          Amount,     false};
 }
 
 Outcome<ShareGrant> ShareLedger::release(const ShareRelease &Request,
@@ -195,8 +204,11 @@
   const bool Ahead = Held.Tokens != Request.Gathered
                          ? Held.Tokens > Request.Gathered
                          : this->Self < Request.Borrower;
+  // A reserve of a part of a token would keep whole ones from being lent.
   const MicroRequests Reserve =
-      OwnDemand / (std::chrono::seconds(1) / LendReserve);
+      this->isConcentrated(Request.Workspace)
+          ? 0
+          : OwnDemand / (std::chrono::seconds(1) / LendReserve);
   MicroRequests Spare = 0;
   if (!Gathering)
     Spare = std::max<MicroRequests>(Held.Tokens - Reserve, 0);
@@ -207,10 +219,41 @@
   // Capacity travels with tokens, and unneeded rate with the capacity: a
   // bucket without capacity would waste the rate that fills it.
   Amount.Burst = Amount.Tokens;
-  Amount.Rate = std::min(scale(Held.Rate, Amount.Burst, Held.Burst),
-                         std::max<MicroRequests>(Held.Rate - OwnDemand, 0));
-  return this->subtract(**Account, Request.Workspace, Request.Borrower, Amount,
-                        Now);
+  if (!this->isConcentrated(Request.Workspace))
+    Amount.Rate = std::min(scale(Held.Rate, Amount.Burst, Held.Burst),
+                           std::max<MicroRequests>(Held.Rate - OwnDemand, 0));
+  ShareGrant Grant = this->subtract(**Account, Request.Workspace,
+                                    Request.Borrower, Amount, Now);
+  Grant.Borrowed = true;
+  return Grant;
+}
+
+std::size_t ShareLedger::homes(const std::string &Workspace) const {
+  const auto Found = this->Accounts.find(Workspace);
+  return Found == this->Accounts.end()
+             ? 0
+             : homeCount(Found->second.Total.Burst, this->Holders.size());
+}
+
+bool ShareLedger::isConcentrated(const std::string &Workspace) const {
+  return this->homes(Workspace) < this->Holders.size();
+}
+
+Outcome<ShareGrant> ShareLedger::giveBack(const std::string &Workspace,
+                                          const ShareHolder &Lender,
+                                          MicroRequests Burst,
+                                          Clock::time_point Now) {
+  const auto Account =
+      this->accountForGrant(this->Self, Lender, this->Epoch, Workspace, Now);
+  if (!Account)
+    return tl::unexpected(Account.error());
+  const ShareAmount Held = contents(**Account);
+  ShareAmount Amount;
+  Amount.Burst = std::clamp(Burst, MicroRequests{0}, Held.Burst);
+  Amount.Tokens = tokensAlong(Held, Amount.Burst);
+  if (Amount.isZero())
+    return failure(Errc::LimitReached);
+  return this->subtract(**Account, Workspace, Lender, Amount, Now);
 }
 
 std::vector<ShareGrant>
--- a/src/features/limits/ShareLedger.h
+++ b/src/features/limits/ShareLedger.h
@@ -27,7 +27,8 @@
 
   /// Takes over the division of a newer epoch: decreases at once, increases
   /// after EpochBarrierTime or confirmBarrier(). Stale for an epoch that is
-  /// not newer or was written under an older lease; Malformed.
+  /// not newer or was written under an older lease; Malformed. A newer revision
+  /// of the present epoch only lists more holders.
   Outcome<void> adopt(const ShareAllocation &Allocation, Clock::time_point Now);
   /// Makes the increases of \p Epoch usable: every holder of the epoch before
   /// has acknowledged, or its process has ended.
@@ -38,6 +39,13 @@
   void renewProof(std::uint64_t Epoch, Clock::time_point Until,
                   Clock::time_point Now);
   bool isFresh(Clock::time_point Now) const;
+  /// False until the epoch lists this run; it cannot receive shares before.
+  bool isListed() const { return this->Holders.contains(this->Self); }
+  /// Number of holders that the workspace's burst is divided among.
+  std::size_t homes(const std::string &Workspace) const;
+  /// True when the workspace has fewer homes than holders. Borrowed capacity
+  /// goes back then as soon as it is used.
+  bool isConcentrated(const std::string &Workspace) const;
 
   /// Takes one token. Stale without a proof, NotFound for an unknown
   /// workspace, LimitReached when there is no whole token.
@@ -55,6 +63,11 @@
   Outcome<ShareGrant> lend(const BorrowRequest &Request,
                            MicroRequests OwnDemand, bool Gathering,
                            Clock::time_point Now);
+  /// Gives \p Burst of borrowed capacity back, with the tokens left in it.
+  /// Errors as for release().
+  Outcome<ShareGrant> giveBack(const std::string &Workspace,
+                               const ShareHolder &Lender, MicroRequests Burst,
+                               Clock::time_point Now);
   /// Gives everything away on leave, divided among \p Peers by workspace.
   std::vector<ShareGrant> surrender(const std::vector<ShareHolder> &Peers,
                                     Clock::time_point Now);
@@ -89,6 +102,7 @@
 
   ShareHolder Self;
   std::uint64_t Epoch = 0;
+  std::uint64_t Revision = 0;
   std::uint64_t Fence = 0;
   std::uint64_t LastSequence = 0;
   std::set<ShareHolder> Holders;
--- /dev/null
+++ b/src/features/limits/tst_ShareAdmission.cpp
@@ -0,0 +1,84 @@
+#include "limits/ShareAdmission.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rr;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Clock::time_point Start{};
+const ShareHolder A{"a", 1};
+const ShareHolder B{"b", 1};
+constexpr MicroRequests Ten = 10 * OneRequest;
+
+/// Instance A with a rate of 10/s, a burst of one and an empty bucket, next to
+/// B, which reports ten tokens.
+struct Fixture {
+  Fixture() {
+    ShareAllocation Row;
+    Row.Epoch = 1;
+    Row.Holders = {A, B};
+    Row.Workspaces["w"] = {{Ten, Ten, 0}, {{A, {Ten, OneRequest, 0}}}};
+    REQUIRE(this->Ledger.adopt(Row, Start));
+    this->Ledger.confirmBarrier(1, Start);
+    this->Ledger.renewProof(1, Start + 3s, Start);
+  }
+
+  void reportTokens() {
+    this->Planner.update({B, "z", "r", 1, {{"w", {0, Ten, Ten}, 0}}}, Start);
+  }
+
+  ShareLedger Ledger{A, Start};
+  DemandMeter Meter;
+  BorrowPlanner Planner{A, "r"};
+  ShareAdmission Admission{this->Ledger, this->Meter, this->Planner};
+};
+
+} // namespace
+
+// Guards against refusals while another instance has tokens, against more than
+// one request at a time for them, and against waiting for a lost answer.
+TEST_CASE("Requests wait for borrowed tokens before they are refused") {
+  Fixture Test;
+  Test.reportTokens();
+  const auto First = Test.Admission.arrive("w", 1, Start);
+  CHECK(First.Refused.empty());
+  REQUIRE(First.Borrow.size() == 1);
+  CHECK(First.Borrow[0].Lender == B);
+  CHECK(Test.Admission.arrive("w", 2, Start).Borrow.empty());
+  CHECK(Test.Admission.isGathering("w"));
+  const auto Second = Test.Admission.receive(
+      {B, A, 1, 1, "w", {0, Ten, 2 * OneRequest}, true}, Start);
+  CHECK(Second.Admitted == std::vector<std::uint64_t>{1, 2});
+  CHECK_FALSE(Test.Admission.nextWake(Start));
+}
+
+// Guards against requests that wait although no token can come in time, and
+// that are refused although one accrues in time.
+TEST_CASE("Only requests that a token can reach in time wait") {
+  Fixture Test;
+  CHECK(Test.Admission.arrive("w", 1, Start).Refused.empty());
+  const auto Step = Test.Admission.arrive("w", 2, Start);
+  REQUIRE(Step.Refused.size() == 1);
+  CHECK(Step.Refused[0] ==
+        std::pair(std::uint64_t{2}, make_error_code(Errc::LimitReached)));
+  CHECK(Test.Admission.nextWake(Start) == Start + 100ms);
+  CHECK(Test.Admission.wake(Start + 100ms).Admitted.size() == 1);
+}
+
+// Guards against requests that wait for ever when the answer is lost, and
+// against admissions of those that wait after the proof lapsed.
+TEST_CASE("Waiting ends at its deadline or with the proof") {
+  Fixture Test;
+  Test.reportTokens();
+  Test.Ledger.release({A, B, 1, "w", {Ten, 0, 0}, {}}, Start);
+  Test.Admission.arrive("w", 1, Start);
+  CHECK(Test.Admission.nextWake(Start) == Start + ShareAdmission::AnswerTime);
+  CHECK(Test.Admission.wake(Start + 100ms).Borrow.size() == 1);
+  CHECK(Test.Admission.wake(Start + 150ms).Refused.size() == 1);
+  Test.Admission.arrive("w", 2, Start + 2900ms);
+  const auto Step = Test.Admission.wake(Start + 3s);
+  REQUIRE(Step.Refused.size() == 1);
+  CHECK(Step.Refused[0].second == Errc::Stale);
+}
--- /dev/null
+++ b/src/features/limits/tst_ShareBalancer.cpp
@@ -0,0 +1,164 @@
+#include "limits/Apportion.h"
+#include "limits/BorrowPlanner.h"
+#include "limits/ShareBalancer.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <numeric>
+
+using namespace rr;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Report of one member with equal rate and burst, and half its tokens.
+DemandReport reportOf(const std::string &Name, const std::string &Zone,
+                      int Held, int Demand) {
+  const MicroRequests Share = Held * OneRequest;
+  return {{Name, 1},
+          Zone,
+          Zone.substr(0, 1),
+          1,
+          {{"w", {Share, Share, Share / 2}, Demand * OneRequest}}};
+}
+
+ShareAllocation epochOf(std::uint64_t Epoch) {
+  ShareAllocation Result;
+  Result.Epoch = Epoch;
+  Result.Workspaces["w"].Total = {100 * OneRequest, 100 * OneRequest, 0};
+  return Result;
+}
+
+DemandReport *find(std::vector<DemandReport> &Reports, const ShareHolder &Who) {
+  const auto Found =
+      std::find_if(Reports.begin(), Reports.end(),
+                   [&](const DemandReport &R) { return R.Holder == Who; });
+  return &*Found;
+}
+
+/// Carries out the moves that the relays of \p Zones ask for, as the givers
+/// would: they keep their wanted share. Returns the number of moves.
+std::size_t balance(std::vector<DemandReport> &Reports,
+                    const std::vector<std::string> &Zones) {
+  std::vector<ShareRelease> Moves;
+  for (const std::string &Zone : Zones)
+    for (const ShareRelease &Move : planReleases(Reports, Zone, epochOf(1)))
+      Moves.push_back(Move);
+  for (const ShareRelease &Move : Moves) {
+    ShareAmount &From = find(Reports, Move.Giver)->Workspaces[0].Held;
+    ShareAmount &To = find(Reports, Move.Receiver)->Workspaces[0].Held;
+    const auto Transfer = [&](MicroRequests ShareAmount::*Part) {
+      const MicroRequests Amount = std::clamp(
+          From.*Part - Move.Keep.*Part, MicroRequests{0}, Move.Amount.*Part);
+      From.*Part -= Amount;
+      To.*Part += Amount;
+    };
+    Transfer(&ShareAmount::Rate);
+    Transfer(&ShareAmount::Burst);
+  }
+  return Moves.size();
+}
+
+} // namespace
+
+// Guards against shares that stay where the demand was.
+TEST_CASE("Shares follow demand in one round, and then stay") {
+  std::vector<DemandReport> Reports = {
+      reportOf("p", "a1", 80, 0), reportOf("q", "a1", 0, 0),
+      reportOf("r", "a2", 20, 0), reportOf("s", "b1", 0, 50)};
+  const std::vector<std::string> Zones = {"a1", "a2", "b1"};
+  REQUIRE(balance(Reports, Zones) > 0);
+  const ShareAmount &Busy = Reports[3].Workspaces[0].Held;
+  // 90% by demand and a quarter of the remaining 10%.
+  CHECK(toRequests(Busy.Rate) == Approx(92.5).margin(1));
+  CHECK(toRequests(Busy.Burst) == Approx(92.5).margin(1));
+  CHECK(balance(Reports, Zones) == 0);
+  Reports[3].Workspaces[0].Demand = 46 * OneRequest;
+  Reports[0].Workspaces[0].Demand = 2 * OneRequest;
+  CHECK(balance(Reports, Zones) == 0);
+}
+
+// Guards against overshoot when both relays of a zone work at once.
+TEST_CASE("Two relays of a zone move a surplus once") {
+  std::vector<DemandReport> Reports = {reportOf("p", "a1", 100, 10),
+                                       reportOf("q", "b1", 0, 10)};
+  balance(Reports, {"a1", "a1", "b1", "b1"});
+  CHECK(Reports[0].Workspaces[0].Held.Rate == 50 * OneRequest);
+  CHECK(Reports[1].Workspaces[0].Held.Rate == 50 * OneRequest);
+}
+
+// Guards against moves over long links where a near member has a surplus, and
+// against requests to members that another zone's relays serve.
+TEST_CASE("A surplus goes to the own zone first") {
+  const std::vector<DemandReport> Reports = {
+      reportOf("p", "a1", 60, 0), reportOf("q", "a2", 0, 50),
+      reportOf("r", "a2", 60, 0), reportOf("s", "a1", 0, 50)};
+  const auto Moves = planReleases(Reports, "a1", epochOf(1));
+  REQUIRE(Moves.size() == 1);
+  CHECK(Moves[0].Giver.Instance == "p");
+  CHECK(Moves[0].Receiver.Instance == "s");
+}
+
+// Guards against moves that are refused: the giver is in another epoch.
+TEST_CASE("Members of an older epoch are left alone") {
+  std::vector<DemandReport> Reports = {reportOf("p", "a1", 100, 0),
+                                       reportOf("q", "a1", 0, 50)};
+  Reports[1].Epoch = 2;
+  CHECK(planReleases(Reports, "a1", epochOf(1)).empty());
+  CHECK(planReleases(Reports, "a1", epochOf(2)).empty());
+  Reports[0].Epoch = 2;
+  CHECK(planReleases(Reports, "a1", epochOf(2)).size() == 1);
+}
+
+// Guards against parts that do not add up, and against small bursts in parts
+// that never make a whole request.
+TEST_CASE("Allowances are divided completely and in usable parts") {
+  const std::vector<double> Weights = {0.3, 0, 5.1, 0.7, 1e-9};
+  for (const MicroRequests Total : {0L, 1L, 999'999L, 7'300'001L, MaxAmount}) {
+    const auto Parts = apportion(Total, Weights, OneRequest);
+    CHECK(std::accumulate(Parts.begin(), Parts.end(), MicroRequests{0}) ==
+          Total);
+  }
+  // Two homes for a burst of 17: the present one and the one with most demand.
+  std::vector<ShareAmount> Held(12);
+  Held[3] = {OneRequest, 17 * OneRequest, 0};
+  std::vector<double> Demand(12, 1);
+  Demand[7] = 10;
+  const ShareAmount Total = {2 * OneRequest, 17 * OneRequest, 0};
+  const auto Parts =
+      divideAllowance(Total, Demand, homeCount(Total.Burst, 12), Held);
+  CHECK(Parts[3].Burst + Parts[7].Burst == Total.Burst);
+  CHECK(Parts[3].Rate + Parts[7].Rate == Total.Rate);
+  CHECK(Parts[3].Burst >= OneRequest);
+  CHECK(homeCount(5 * OneRequest, 12) == 1);
+}
+
+// Guards against borrowing from holders without tokens, and against messages
+// for a workspace that is used up.
+TEST_CASE("Those with the most tokens are asked, once a report") {
+  const Clock::time_point Now{};
+  BorrowPlanner Planner({"me", 1}, "a");
+  const auto Plan = [&](int Wanted, std::uint64_t Epoch = 1,
+                        MicroRequests Gathered = 0) {
+    return Planner.plan("w", Epoch, Wanted * OneRequest, OneRequest - Gathered,
+                        Gathered, false, Now);
+  };
+  Planner.update(reportOf("near", "a1", 1, 1), Now);
+  CHECK(Plan(1).empty());
+  CHECK(Plan(1, 1, OneRequest / 2).size() == 1);
+  Planner.update(reportOf("near", "a1", 20, 20), Now - FreshnessLimit);
+  CHECK(Plan(1).empty());
+  Planner.update(reportOf("me", "a1", 90, 0), Now);
+  Planner.update(reportOf("far", "b1", 30, 30), Now);
+  Planner.update(reportOf("near", "a1", 20, 20), Now);
+  CHECK(Plan(1, 2).empty());
+  auto Requests = Plan(8);
+  REQUIRE(Requests.size() == 1);
+  CHECK(Requests[0].Lender.Instance == "near");
+  Requests = Plan(16);
+  REQUIRE(Requests.size() == 2);
+  CHECK(Requests[0].Lender.Instance == "far");
+  CHECK(Requests[1].Wanted == OneRequest);
+  CHECK(Plan(1).size() == 1);
+  CHECK(Plan(1).empty());
+}
