Admit through ShareAdmission; share epochs follow the merged limits

Cause: the instance's own borrowing asked once and refused 6 of 60 requests that were within the rate; the freshness bound stood twice. Change: the instance feeds ShareAdmission and carries out its steps; relays balance against the present epoch; limits take the freshness bound from membership/Timing.h.

--- a/src/features/instance/Admission.cpp
+++ b/src/features/instance/Admission.cpp
@@ -5,7 +5,6 @@
 #include "limits/LimitsJson.h"
 #include "telemetry/Metrics.h"
 
-#include <algorithm>
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 #include <utility>
@@ -16,107 +15,91 @@
 
 using nlohmann::json;
 
-// Two crossings between the regions that are farthest apart, and a margin. A
-// caller waits no longer than this for borrowed tokens.
-constexpr std::chrono::milliseconds BorrowTimeout{150};
-// Tokens asked for cover the demand of this time, so that the next requests
-// need no messages.
-constexpr std::chrono::milliseconds BorrowAhead{100};
-// A token that comes by itself within this time is waited for.
-constexpr std::chrono::milliseconds LongestTokenWait{50};
-constexpr std::size_t MostTokenWaiters = 64;
 constexpr std::chrono::seconds GrantTimeout{2};
-
-MicroRequests demandFor(MicroRequests PerSecond,
-                        std::chrono::milliseconds Time) {
-  return PerSecond * Time.count() / 1000;
-}
+// Time for a receiver to fetch the epoch that a grant belongs to.
+constexpr std::chrono::milliseconds GrantRepeatDelay{150};
+constexpr int GrantAttempts = 3;
 
 } // namespace
 
-/// One round of borrowing that requests of a workspace wait for.
-struct Admission::Borrow {
-  explicit Borrow(const asio::any_io_executor &Executor) : Done(Executor) {}
+/// A request that waits for its token.
+struct Admission::Pending {
+  explicit Pending(const asio::any_io_executor &Executor) : Done(Executor) {}
 
   OneShotEvent Done;
-  std::size_t Open = 0;
+  Outcome<void> Result = failure(Errc::LimitReached);
 };
 
 Admission::Admission(InstanceState &State, const PeerNetwork &Network,
                      asio::any_io_executor Executor, Metrics &Counters)
     : State(State), Network(Network), Executor(std::move(Executor)),
-      Counters(Counters), Planner(State.Shares.self(), std::string()) {}
+      Counters(Counters), Planner(State.Shares.self(), std::string()),
+      Gate(State.Shares, this->Demand, this->Planner) {}
 
 asio::awaitable<Outcome<void>> Admission::admit(std::string Workspace,
                                                 Clock::time_point Deadline) {
-  this->Demand.note(Workspace, Clock::now());
-  auto Taken = this->State.Shares.tryAdmit(Workspace, Clock::now());
-  if (Taken || Taken.error() != Errc::LimitReached)
-    co_return Taken;
-  auto &Running = this->Borrows[Workspace];
-  if (!Running) {
-    Running = std::make_shared<Borrow>(this->Executor);
-    asio::co_spawn(this->Executor, this->borrow(Workspace), asio::detached);
-  }
-  const std::shared_ptr<Borrow> Round = Running;
-  co_await Round->Done.waitUntil(
-      std::min(Deadline, Clock::now() + BorrowTimeout));
-  Taken = this->State.Shares.tryAdmit(Workspace, Clock::now());
-  if (Taken || Taken.error() != Errc::LimitReached)
-    co_return Taken;
-  co_return co_await this->waitForToken(Workspace, Deadline);
+  const std::uint64_t Id = ++this->LastId;
+  auto Mine = std::make_shared<Pending>(this->Executor);
+  this->Requests[Id] = Mine;
+  this->carryOut(this->Gate.arrive(Workspace, Id, Clock::now()));
+  co_await Mine->Done.waitUntil(Deadline);
+  if (this->Requests.erase(Id) > 0)
+    this->Gate.cancel(Workspace, Id);
+  co_return Mine->Result;
 }
 
-asio::awaitable<Outcome<void>>
-Admission::waitForToken(std::string Workspace, Clock::time_point Deadline) {
-  const Clock::time_point Now = Clock::now();
-  const auto Wait = this->State.Shares.timeUntilToken(Workspace, Now);
-  if (!Wait || *Wait > LongestTokenWait || Now + *Wait >= Deadline ||
-      this->Waiting[Workspace] >= MostTokenWaiters)
-    co_return failure(Errc::LimitReached);
-  ++this->Waiting[Workspace];
-  co_await sleepFor(*Wait);
-  --this->Waiting[Workspace];
-  co_return this->State.Shares.tryAdmit(Workspace, Clock::now());
+void Admission::finish(std::uint64_t Id, Outcome<void> Result) {
+  const auto Found = this->Requests.find(Id);
+  if (Found == this->Requests.end())
+    return;
+  Found->second->Result = std::move(Result);
+  Found->second->Done.set();
+  this->Requests.erase(Found);
 }
 
-asio::awaitable<void> Admission::borrow(std::string Workspace) {
-  const Clock::time_point Now = Clock::now();
-  const std::shared_ptr<Borrow> Round = this->Borrows[Workspace];
-  const MicroRequests Held = this->State.Shares.held(Workspace, Now).Tokens;
-  const MicroRequests Ahead =
-      demandFor(this->Demand.demand(Workspace, Now), BorrowAhead);
-  const MicroRequests Needed = std::max<MicroRequests>(1, OneRequest - Held);
-  const MicroRequests Wanted = std::max(Needed, Ahead);
-  const auto Requests = this->Planner.plan(
-      Workspace, this->State.Shares.epoch(), Wanted, Needed, Held, Now);
-  Round->Open = Requests.size();
-  for (const BorrowRequest &Request : Requests)
-    asio::co_spawn(this->Executor, this->borrowFrom(Request, Round),
-                   asio::detached);
-  if (!Requests.empty())
-    co_await Round->Done.waitUntil(Now + BorrowTimeout);
-  this->Borrows.erase(Workspace);
-  Round->Done.set();
+void Admission::carryOut(const AdmissionStep &Step) {
+  for (const std::uint64_t Id : Step.Admitted)
+    this->finish(Id, {});
+  for (const auto &[Id, Reason] : Step.Refused)
+    this->finish(Id, tl::unexpected<std::error_code>(Reason));
+  for (const BorrowRequest &Request : Step.Borrow)
+    asio::co_spawn(this->Executor, this->borrowFrom(Request), asio::detached);
+  for (const ShareGrant &Grant : Step.GiveBack)
+    asio::co_spawn(this->Executor, this->deliver(Grant), asio::detached);
+  this->scheduleWake();
 }
 
-asio::awaitable<void> Admission::borrowFrom(BorrowRequest Request,
-                                            std::shared_ptr<Borrow> Running) {
+void Admission::scheduleWake() {
+  const auto Next = this->Gate.nextWake(Clock::now());
+  if (!Next || (this->NextWake && *this->NextWake <= *Next))
+    return;
+  this->NextWake = Next;
+  asio::co_spawn(this->Executor, this->wakeAt(*Next), asio::detached);
+}
+
+asio::awaitable<void> Admission::wakeAt(Clock::time_point Time) {
+  co_await sleepFor(Time - Clock::now());
+  if (this->NextWake != Time)
+    co_return;
+  this->NextWake.reset();
+  this->carryOut(this->Gate.wake(Clock::now()));
+}
+
+asio::awaitable<void> Admission::borrowFrom(BorrowRequest Request) {
   const json Body = formatShareMove(Request);
   const Clock::time_point Deadline = Clock::now() + GrantTimeout;
   const auto Answer = co_await this->Network.Call(
       Request.Lender.Instance, "shareMove", Body, Deadline, nullptr);
-  const auto Move = Answer ? parseShareMove(*Answer)
-                           : Outcome<ShareMove>(failure(Errc::Unavailable));
+  if (!Answer)
+    co_return;
+  const auto Move = parseShareMove(*Answer);
   const ShareGrant *Grant = Move ? std::get_if<ShareGrant>(&*Move) : nullptr;
-  if (Grant)
-    this->State.Shares.receive(*Grant, Clock::now());
-  const bool Useful = Grant && !Grant->Amount.isZero();
-  this->Counters.add(Metric::Borrows,
-                     {{"result", Useful ? "granted" : "nothing"}});
-  // The first token is enough to go on; later grants are added as they come.
-  if (--Running->Open == 0 || Useful)
-    Running->Done.set();
+  if (!Grant)
+    co_return;
+  this->Counters.add(
+      Metric::Borrows,
+      {{"result", Grant->Amount.isZero() ? "nothing" : "granted"}});
+  this->carryOut(this->Gate.receive(*Grant, Clock::now()));
 }
 
 Outcome<json> Admission::onShareMove(const json &Body) {
@@ -125,7 +108,7 @@
     return failure(Errc::Malformed);
   const Clock::time_point Now = Clock::now();
   if (const auto *Request = std::get_if<BorrowRequest>(&*Move)) {
-    const bool Gathering = this->Borrows.count(Request->Workspace) > 0;
+    const bool Gathering = this->Gate.isGathering(Request->Workspace);
     const auto Grant = this->State.Shares.lend(
         *Request, this->Demand.demand(Request->Workspace, Now), Gathering, Now);
     if (!Grant)
@@ -137,8 +120,9 @@
     return json::object();
   }
   const auto &Grant = std::get<ShareGrant>(*Move);
-  const GrantResult Result = this->State.Shares.receive(Grant, Now);
-  return json{{"newer_epoch", Result == GrantResult::NewerEpoch}};
+  const bool Newer = Grant.Epoch > this->State.Shares.epoch();
+  this->carryOut(this->Gate.receive(Grant, Now));
+  return json{{"newer_epoch", Newer}};
 }
 
 asio::awaitable<void> Admission::release(ShareRelease Request) {
@@ -151,7 +135,7 @@
   const json Body = formatShareMove(Grant);
   // Sent once more when the receiver has to fetch the epoch first. A grant is
   // added only once, so that repeating it is safe.
-  for (int Attempt = 0; Attempt < 3; ++Attempt) {
+  for (int Attempt = 0; Attempt < GrantAttempts; ++Attempt) {
     const Clock::time_point Deadline = Clock::now() + GrantTimeout;
     const auto Answer = co_await this->Network.Call(
         Grant.To.Instance, "shareMove", Body, Deadline, nullptr);
@@ -159,7 +143,7 @@
         !Answer || (Answer->is_object() && Answer->value("newer_epoch", false));
     if (!Repeat)
       co_return;
-    co_await sleepFor(BorrowTimeout);
+    co_await sleepFor(GrantRepeatDelay);
   }
 }
 
--- a/src/features/instance/Admission.h
+++ b/src/features/instance/Admission.h
@@ -5,6 +5,7 @@
 #include "instance/PeerNetwork.h"
 #include "limits/BorrowPlanner.h"
 #include "limits/DemandMeter.h"
+#include "limits/ShareAdmission.h"
 #include "limits/ShareMove.h"
 
 #include <map>
@@ -16,19 +17,20 @@
 class Metrics;
 struct InstanceState;
 
-/// Admits requests within the shares of this instance and borrows tokens of
-/// other instances when they are used up.
+/// Admits requests within the shares of this instance, and carries the
+/// messages by which shares move between instances.
 class Admission {
 public:
   Admission(InstanceState &State, const PeerNetwork &Network,
             asio::any_io_executor Executor, Metrics &Counters);
 
-  /// Takes one token of the workspace. Errc::LimitReached when the fleet has
-  /// none, Errc::Stale without a freshness proof.
+  /// Takes one token of the workspace, if need be a borrowed one.
+  /// Errc::LimitReached when the fleet has none, Errc::Stale without a
+  /// freshness proof.
   asio::awaitable<Outcome<void>> admit(std::string Workspace,
                                        Clock::time_point Deadline);
 
-  /// Answers a borrow or release request of another instance.
+  /// Answers a move of shares that another instance asks for or makes.
   Outcome<nlohmann::json> onShareMove(const nlohmann::json &Body);
 
   /// What this instance holds and is asked for, for its relays.
@@ -41,14 +43,14 @@
   asio::awaitable<void> surrender();
 
 private:
-  struct Borrow;
+  struct Pending;
 
-  asio::awaitable<void> borrow(std::string Workspace);
-  asio::awaitable<void> borrowFrom(BorrowRequest Request,
-                                   std::shared_ptr<Borrow> Running);
+  void carryOut(const AdmissionStep &Step);
+  void finish(std::uint64_t Id, Outcome<void> Result);
+  void scheduleWake();
+  asio::awaitable<void> wakeAt(Clock::time_point Time);
+  asio::awaitable<void> borrowFrom(BorrowRequest Request);
   asio::awaitable<void> deliver(ShareGrant Grant);
-  asio::awaitable<Outcome<void>> waitForToken(std::string Workspace,
-                                              Clock::time_point Deadline);
 
   InstanceState &State;
   const PeerNetwork &Network;
@@ -56,10 +58,10 @@
   Metrics &Counters;
   DemandMeter Demand;
   BorrowPlanner Planner;
-  /// At most one round of borrowing for each workspace.
-  std::map<std::string, std::shared_ptr<Borrow>> Borrows;
-  /// Requests that wait for a token, by workspace.
-  std::map<std::string, std::size_t> Waiting;
+  ShareAdmission Gate;
+  std::map<std::uint64_t, std::shared_ptr<Pending>> Requests;
+  std::uint64_t LastId = 0;
+  std::optional<Clock::time_point> NextWake;
 };
 
 } // namespace rr
--- a/src/features/instance/FleetWork.cpp
+++ b/src/features/instance/FleetWork.cpp
@@ -8,6 +8,7 @@
 #include "instance/SpillJson.h"
 #include "limits/LimitsJson.h"
 #include "logging/EventLog.h"
+#include "membership/Timing.h"
 #include "model/FleetConfig.h"
 #include "platform/PlatformCalls.h"
 
@@ -208,9 +209,15 @@
   for (const InstanceReport *Item : this->Reports.recent(Now))
     Known[Item->Demand.Holder.Instance] = Item;
   std::vector<AllocationMember> Result;
-  for (const MemberEntry *Entry : liveMembers(this->State, Now)) {
+  MemberTable &Members = this->State.Control.members();
+  for (const MemberEntry *Entry : Members.counted()) {
+    // An instance that is known from the platform's list only has no run yet.
+    if (Entry->Record.Incarnation == 0)
+      continue;
     AllocationMember Item;
     Item.Holder = {Entry->Record.Name, Entry->Record.Incarnation};
+    Item.Silent = Now - Entry->HeardAt > SilentAfter &&
+                  Entry->Record.Name != Members.self().Name;
     const auto Found = Known.find(Entry->Record.Name);
     if (Found != Known.end() && Found->second->Demand.Holder == Item.Holder)
       Item.Report = Found->second->Demand;
--- a/src/features/instance/ReportExchange.cpp
+++ b/src/features/instance/ReportExchange.cpp
@@ -149,11 +149,14 @@
 }
 
 void ReportExchange::balance(Clock::time_point Now) {
+  if (!this->State.Allocation)
+    return;
   const Member &Self = this->State.Control.members().self();
   std::vector<DemandReport> Reports;
   for (const InstanceReport *Item : this->recent(Now))
     Reports.push_back(Item->Demand);
-  for (const ShareRelease &Move : planReleases(Reports, Self.Zone)) {
+  for (const ShareRelease &Move :
+       planReleases(Reports, Self.Zone, *this->State.Allocation)) {
     if (Move.Giver.Instance == Self.Name)
       asio::co_spawn(this->Executor, this->Limits.release(Move),
                      asio::detached);
--- a/src/features/limits/ShareUnits.h
+++ b/src/features/limits/ShareUnits.h
@@ -1,7 +1,8 @@
 #ifndef REDWINGRACK_LIMITS_SHAREUNITS_H
 #define REDWINGRACK_LIMITS_SHAREUNITS_H
 
-#include <chrono>
+#include "membership/Timing.h"
+
 #include <cmath>
 #include <cstdint>
 
@@ -16,11 +17,9 @@
 /// 10,000 instances stay far inside 64 bits.
 constexpr MicroRequests MaxAmount = 100'000'000 * OneRequest;
 
-/// Age up to which a freshness proof holds.
-constexpr std::chrono::seconds FreshnessLimit{3};
 /// Time after which no instance can still use the epoch before a new one:
 /// FreshnessLimit and one second of margin.
-constexpr std::chrono::seconds EpochBarrierTime{4};
+constexpr Clock::duration EpochBarrierTime = InForceDelay;
 
 /// Rounds down, and limits to 0..MaxAmount.
 inline MicroRequests toMicroRequests(double Requests) {
