--- a/src/features/lookup/RangeSearch.h
+++ b/src/features/lookup/RangeSearch.h
@@ -14,7 +14,8 @@
   const T *Base = Data;
   while (Count > 1) {
     const std::size_t Half = Count / 2;
-    Base += Base[Half - 1] <= Value ? Half : 0;
+    // Arithmetic instead of a condition, which compilers turn into a branch.
+    Base += Half * static_cast<std::size_t>(Base[Half - 1] <= Value);
     Count -= Half;
   }
   return static_cast<std::size_t>(Base - Data) + (*Base <= Value ? 1 : 0);
--- a/src/features/lookup/RangeTable6.h
+++ b/src/features/lookup/RangeTable6.h
@@ -8,7 +8,7 @@
 
 namespace rr {
 
-/// Sorted IPv6 ranges under a tree of every 16th start. The lower halves of the
+/// Sorted IPv6 ranges under a tree over their starts. The lower halves of the
 /// starts are kept only when a prefix is longer than 64 bits.
 class RangeTable6 {
 public:
@@ -23,13 +23,28 @@
   std::size_t memoryBytes() const;
 
 private:
+  static constexpr std::size_t LeafSize = 10;
+  /// Starts and values of ranges side by side in two cache lines, so that a
+  /// look-up waits for memory once at the leaf.
+  struct alignas(128) Leaf {
+    std::uint64_t Highs[LeafSize];
+    std::uint32_t Values[LeafSize];
+  };
+
+  std::uint64_t high(std::size_t Range) const {
+    return this->Leaves[Range / LeafSize].Highs[Range % LeafSize];
+  }
+  std::uint32_t &value(std::size_t Range) {
+    return this->Leaves[Range / LeafSize].Values[Range % LeafSize];
+  }
   std::size_t lastWithHigh(std::uint64_t High) const;
 
-  /// Every 16th element of the level below; the first level is over Highs.
+  /// The first level has the first start of each leaf; each further one has
+  /// every 16th element of the level below.
   std::vector<std::vector<std::uint64_t>> Levels;
-  std::vector<std::uint64_t> Highs;
+  std::vector<Leaf> Leaves;
   std::vector<std::uint64_t> Lows;
-  std::vector<std::uint32_t> Values;
+  std::size_t Ranges = 0;
   Key6 LastFirst;
 };
 
--- a/src/features/lookup/tst_BlockTable.cpp
+++ b/src/features/lookup/tst_BlockTable.cpp
@@ -106,6 +106,8 @@
     while (!Builder.step(3)) {
     }
     const BlockTable Table = Builder.take();
+    const IpAddress Highest{~0ull, ~0ull, false};
+    RC_ASSERT(Table.find(Highest) == scan(All, Highest));
     for (const BlockChange &Change : All) {
       IpAddress Probe = Change.Prefix.Address;
       // The first address, its neighbours, and one inside the block.
--- a/src/features/routing/tst_ServerTable.cpp
+++ b/src/features/routing/tst_ServerTable.cpp
@@ -108,6 +108,18 @@
   CHECK_FALSE(Fix.Table.acquire("stock", "2", true, Fix.Random, Start));
 }
 
+// Guards against a free slot that stays unseen because the servers were full a
+// moment ago, and against estimates from a use that is long past.
+TEST_CASE("A released slot is used at once and use is read again") {
+  Fixture Fix(1, 1);
+  CHECK(Fix.Table.recentUse("stock", "1", Start).Outstanding == 0);
+  SlotLease Lease = Fix.acquire();
+  CHECK_FALSE(Fix.acquire());
+  CHECK(Fix.Table.recentUse("stock", "1", Start + 10ms).Outstanding == 1);
+  Lease.finish(RequestOutcome::Success, Start);
+  CHECK(Fix.acquire());
+}
+
 // Guards against a lease that outlives its server in the configuration.
 TEST_CASE("A lease frees its slot after the server has gone") {
   Fixture Fix(1, 3);
@@ -209,4 +221,5 @@
   Fix.Table.beginLargeMove("stock", "2", Fix.Now);
   CHECK_FALSE(Fix.Table.acquire("stock", "2", true, Fix.Random, Fix.Now));
   CHECK(effectiveSlots(*Server, Fix.Now + 15s) == 5);
+  CHECK(Fix.Table.acquire("stock", "2", true, Fix.Random, Fix.Now + 15s));
 }
--- a/src/features/routing/tst_Spill.cpp
+++ b/src/features/routing/tst_Spill.cpp
@@ -106,8 +106,10 @@
   CHECK(spendAll(Credits, 1, Start + 2500ms, 10s) == 0);
   // Unused credit does not add up to a burst.
   Credits.apply(grantOf(100, 1e6), Start + 20s, Start + 20s);
-  Credits.apply(grantOf(100, 1e6), Start + 22s, Start + 22s);
-  CHECK(spendAll(Credits, 1, Start + 22s, 10ms) <= 11);
+  int AtOnce = 0;
+  for (int I = 0; I < 50; ++I)
+    AtOnce += Credits.trySpend("b", "stock", 1, Start + 22s) ? 1 : 0;
+  CHECK(AtOnce == 10);
   SpillCredits FewBytes;
   FewBytes.apply(grantOf(100, 1000), Start, Start);
   const int Sent = spendAll(FewBytes, 50, Start, 2s);
