--- a/src/bench/BenchCommands.cpp
+++ b/src/bench/BenchCommands.cpp
@@ -1,5 +1,7 @@
 #include "bench/BenchCommands.h"
 
+#include "bench/LimitsBench.h"
+
 namespace rr {
 
 int runDecisionBench(const std::vector<std::string> &Arguments);
@@ -11,6 +13,8 @@
 constexpr BenchCommand Commands[] = {
     {"decision", "time per routing decision at 26, 130 and 260 sites",
      runDecisionBench},
+    {"limits", "rate limiting policies; --seed N, --seconds N, --between-ms N",
+     runLimitsBench},
     {"lookup", "rate and memory of the client block table", runLookupBench},
     {"routing", "policy simulation; optional argument: seed", runRoutingBench},
 };
--- a/src/bench/ShareFleet.cpp
+++ b/src/bench/ShareFleet.cpp
@@ -8,7 +8,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto HeartbeatPeriod = 1s;
+constexpr auto ReportInterval = 1s;
 constexpr auto StorePeriod = 500ms;
 constexpr auto InRegionDelay = 1ms;
 constexpr auto StoreWriteTime = 20ms;
@@ -164,7 +164,7 @@
         (this->*Task)(Instance);
     });
   };
-  Each(HeartbeatPeriod, &ShareFleet::exchange);
+  Each(ReportInterval, &ShareFleet::exchange);
   Each(StorePeriod, &ShareFleet::readStore);
 }
 
@@ -273,7 +273,7 @@
   ShareNode &Node = *this->Nodes[RestartedInstance];
   Node.Running = false;
   // The refused connection of the next heartbeat proves that it ended.
-  this->Loop.after(HeartbeatPeriod, [this, Holder = Node.Ledger.self()] {
+  this->Loop.after(ReportInterval, [this, Holder = Node.Ledger.self()] {
     this->Ended.insert(Holder);
   });
 }
--- a/src/features/instance/Dispatcher.cpp
+++ b/src/features/instance/Dispatcher.cpp
@@ -9,6 +9,8 @@
 #include "telemetry/Metrics.h"
 #include "telemetry/SpanExporter.h"
 
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
 #include <utility>
 
 namespace rr {
@@ -18,9 +20,12 @@
 using nlohmann::json;
 
 // Owners that are asked before the request waits in the queue.
-constexpr int MostPlacements = 4;
+constexpr int MostPlacements = 6;
 constexpr std::chrono::seconds ShortRetryAfter{1};
 constexpr const char *NoSlot = "no_slot";
+// Longest time that an answer is held back until the other instances know of
+// a crash: a few round trips between regions.
+constexpr std::chrono::milliseconds PublishTimeout{200};
 
 DispatchResult notRun(const std::string &Reason) {
   DispatchResult Result;
@@ -48,6 +53,13 @@
   return !Result.Answered || Result.Status >= 500;
 }
 
+// Nothing has left for a server in these cases, so that asking another one is
+// no retry and needs no budget.
+bool mayPlaceAgain(const DispatchResult &Result) {
+  return Result.Outcome == Execution::NotRun &&
+         (Result.Reason == NoSlot || Result.Reason == "server_unreachable");
+}
+
 RequestOutcome outcomeOf(const DispatchResult &Result) {
   if (Result.Reason == "cancelled")
     return RequestOutcome::Abandoned;
@@ -57,6 +69,15 @@
 
 } // namespace
 
+/// Instances that have not confirmed a message yet.
+struct Dispatcher::Acknowledgements {
+  explicit Acknowledgements(const asio::any_io_executor &Executor)
+      : Done(Executor) {}
+
+  OneShotEvent Done;
+  std::size_t Missing = 0;
+};
+
 /// A request on its way through this instance.
 struct Dispatcher::Job {
   DispatchRequest Request;
@@ -97,11 +118,36 @@
       this->Network.Send(Entry->Record.Name, Method, Body);
 }
 
-void Dispatcher::publishSuspects(const std::vector<SuspectMessage> &News) {
+asio::awaitable<void> Dispatcher::tell(std::string Peer, std::string Method,
+                                       json Body,
+                                       std::shared_ptr<Acknowledgements> Open) {
+  const Clock::time_point Deadline = Clock::now() + PublishTimeout;
+  co_await this->Network.Call(std::move(Peer), std::move(Method),
+                              std::move(Body), Deadline, nullptr);
+  if (--Open->Missing == 0)
+    Open->Done.set();
+}
+
+// The caller may send the request again as soon as it has its answer, through
+// any instance, so that all must know of the crash by then.
+asio::awaitable<void>
+Dispatcher::publishSuspects(std::vector<SuspectMessage> News) {
+  auto Open = std::make_shared<Acknowledgements>(this->Executor);
+  const std::string &Self = this->State.Control.members().self().Name;
   for (const SuspectMessage &Item : News) {
     logEvent(Event::RequestSuspect, {{"fingerprint", Item.Fingerprint}});
-    this->publish("suspect", encodeSuspect(Item, Clock::now()));
+    const json Body = encodeSuspect(Item, Clock::now());
+    for (const MemberEntry *Entry : liveMembers(this->State, Clock::now())) {
+      if (Entry->Record.Name == Self)
+        continue;
+      ++Open->Missing;
+      asio::co_spawn(this->Executor,
+                     this->tell(Entry->Record.Name, "suspect", Body, Open),
+                     asio::detached);
+    }
   }
+  if (Open->Missing > 0)
+    co_await Open->Done.waitUntil(Clock::now() + PublishTimeout);
 }
 
 void Dispatcher::onSuspect(const json &Body) {
@@ -267,7 +313,7 @@
                                          std::move(Decision->Version));
     else
       Result = co_await this->runSpill(Work, std::move(Decision->Region));
-    if (Result.Answered || Result.Reason != NoSlot)
+    if (Result.Answered || !mayPlaceAgain(Result))
       co_return Result;
   }
   co_return notRun("overloaded");
@@ -330,12 +376,16 @@
 asio::awaitable<void> Dispatcher::reviewCrash(DispatchRequest Request,
                                               BackendServer Server,
                                               Clock::time_point Started) {
-  this->publishSuspects(this->Guard.connectionEnded(
-      Request.Fingerprint, Server.Name, Started, Clock::now()));
+  std::vector<SuspectMessage> News = this->Guard.connectionEnded(
+      Request.Fingerprint, Server.Name, Started, Clock::now());
+  if (!News.empty())
+    co_await this->publishSuspects(std::move(News));
   const bool Accepts = co_await this->Servers.Probe(Server);
-  if (!Accepts)
-    this->publishSuspects(
-        this->Guard.connectionRefused(Server.Name, Clock::now()));
+  if (Accepts)
+    co_return;
+  News = this->Guard.connectionRefused(Server.Name, Clock::now());
+  if (!News.empty())
+    co_await this->publishSuspects(std::move(News));
 }
 
 asio::awaitable<DispatchResult> Dispatcher::callOwner(std::shared_ptr<Job> Work,
--- a/src/features/instance/Dispatcher.h
+++ b/src/features/instance/Dispatcher.h
@@ -52,6 +52,7 @@
 
 private:
   struct Job;
+  struct Acknowledgements;
 
   asio::awaitable<DispatchResult> run(std::shared_ptr<Job> Work);
   asio::awaitable<Outcome<RouteDecision>> decide(std::shared_ptr<Job> Work);
@@ -75,7 +76,10 @@
   void noteAnswer(const DispatchRequest &Request, const DispatchResult &Result,
                   Clock::time_point Started);
   std::string trialOwnerOf(const std::string &Fingerprint);
-  void publishSuspects(const std::vector<SuspectMessage> &News);
+  asio::awaitable<void> publishSuspects(std::vector<SuspectMessage> News);
+  asio::awaitable<void> tell(std::string Peer, std::string Method,
+                             nlohmann::json Body,
+                             std::shared_ptr<Acknowledgements> Open);
 
   InstanceState &State;
   const PeerNetwork &Network;
--- a/src/features/instance/InstanceCore.cpp
+++ b/src/features/instance/InstanceCore.cpp
@@ -316,6 +316,10 @@
     --this->Running;
     co_return Result;
   }
+  if (Method == "suspect") {
+    this->Dispatch.onSuspect(Body);
+    co_return json::object();
+  }
   if (Method == "shareMove")
     co_return this->Limits.onShareMove(Body);
   if (Method == "spillAsk")
--- a/src/features/instance/PeerAdapter.cpp
+++ b/src/features/instance/PeerAdapter.cpp
@@ -22,9 +22,9 @@
     "suspect", "controlHint", "ownerAck"};
 
 constexpr std::array CallMethods = {
-    "heartbeat",    "zone_summary", "withdraw", "fetch_members", "fetch_keys",
-    "fetch_config", "config",       "probe",    "fetch_shares",  "shareMove",
-    "spillAsk",     "forward",      "trial"};
+    "suspect",    "heartbeat",    "zone_summary", "withdraw", "fetch_members",
+    "fetch_keys", "fetch_config", "config",       "probe",    "fetch_shares",
+    "shareMove",  "spillAsk",     "forward",      "trial"};
 
 // Links are tried again within a second, so a refusal that is older says
 // nothing about the present.
