--- a/src/history/tst_RateWindow.cpp
+++ b/src/history/tst_RateWindow.cpp
@@ -1,5 +1,7 @@
+#include "history/PrefixMaximum.h"
 #include "history/RateWindow.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cmath>
 #include <cstdlib>
@@ -54,3 +56,29 @@
                 1e-6);
   }));
 }
+
+// Guards against sums that are lost or counted twice inside the tree.
+TEST_CASE("The tree of maxima agrees with a plain row") {
+  CHECK(rc::check([] {
+    const auto Size = *rc::gen::inRange<std::size_t>(1, 40);
+    std::vector<double> Row(Size);
+    PrefixMaximum Tree(Row);
+    const auto Counts = *rc::gen::container<std::vector<std::size_t>>(
+        rc::gen::inRange<std::size_t>(1, Size + 1));
+    for (const std::size_t Count : Counts) {
+      // Whole numbers, so that the sums are exact in any order.
+      const double Amount = double(Count * 7 % 11) - 5;
+      Tree.addToPrefix(Count, Amount);
+      for (std::size_t I = 0; I < Count; ++I)
+        Row[I] += Amount;
+      for (std::size_t I = 1; I <= Size; ++I) {
+        const auto [Value, Index] = Tree.maximumOfPrefix(I);
+        const double Wanted =
+            *std::max_element(Row.begin(), Row.begin() + std::ptrdiff_t(I));
+        RC_ASSERT(Value == Wanted);
+        RC_ASSERT(Index < I);
+        RC_ASSERT(Row[Index] == Wanted);
+      }
+    }
+  }));
+}
