--- a/src/features/instance/InstanceFleet.cpp
+++ b/src/features/instance/InstanceFleet.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Digest.h"
 #include "base/Timer.h"
+#include "configuration/ControlHead.h"
 #include "instance/InstanceFleetConfig.h"
 
 #include <nlohmann/json.hpp>
@@ -60,12 +61,14 @@
       this->Store.platform(&Item.StoreCut), this->networkOf(Name),
       this->serversOf(), *Item.Counters, nullptr);
   Item.Core->start();
+  this->Observer.instance(Name, history::InstanceState::Started);
 }
 
 void InstanceFleet::kill(const std::string &Name, bool HostSilent) {
   Node &Item = this->Nodes.at(Name);
   Item.Running = false;
   Item.HostSilent = HostSilent;
+  this->Observer.instance(Name, history::InstanceState::Killed);
   Item.Core->stopNow();
   this->Ended.push_back(std::move(Item.Core));
   this->EndedCounters.push_back(std::move(Item.Counters));
@@ -168,10 +171,14 @@
     co_return Result;
   }
   ++Target.Running;
+  this->Observer.serverBegan(Server, RequestId, Request.Workspace,
+                             Everything.find(this->Key) != std::string::npos,
+                             Target.Running);
   Target.MostRunning = std::max(Target.MostRunning, Target.Running);
   const Clock::duration Left = Request.Deadline - Clock::now();
   co_await sleepFor(Target.Silent ? Left : std::min(Left, Target.Latency));
   --Target.Running;
+  this->Observer.serverEnded(Server.Name, RequestId, Target.Running);
   if (Target.Silent || Clock::now() >= Request.Deadline) {
     Result.Reason = "server_timeout";
     co_return Result;
@@ -200,12 +207,25 @@
   if (Path.find('?') != std::string::npos)
     Request.Query = Path.substr(Path.find('?') + 1);
   Request.Headers = Extra;
+  std::string Id = "r" + std::to_string(++this->Requests);
+  if (const std::string *Given = findHeader(Extra, "X-Request-Id"))
+    Id = *Given;
+  else
+    Request.Headers.push_back({"X-Request-Id", Id});
   Request.Headers.push_back({"Authorization", "Bearer " + this->Key});
   Request.RemoteAddress = "10.1.0.1";
   Request.Cancel = std::make_shared<Cancellation>();
   InstanceCore *const Core = this->Nodes.at(Instance).Core.get();
-  this->Loop.spawn([Core, Request, Result]() -> asio::awaitable<void> {
+  // Each sending is a request of its own for the observer.
+  const std::string Sending = Id + "/" + std::to_string(++this->Requests);
+  const bool Observed = Request.Path.find("/.redwingrack") != 0;
+  if (Observed)
+    this->Observer.callerSent(Sending, Id, Request, Instance);
+  this->Loop.spawn([this, Core, Request, Result, Sending,
+                    Observed]() -> asio::awaitable<void> {
     HttpResponse Response = co_await Core->handleCaller(Request);
+    if (Observed)
+      this->Observer.callerAnswered(Sending, Response);
     *Result = std::move(Response);
   });
   return Result;
--- a/src/features/instance/InstanceFleet.h
+++ b/src/features/instance/InstanceFleet.h
@@ -2,6 +2,7 @@
 #define REDWINGRACK_INSTANCE_INSTANCEFLEET_H
 
 #include "instance/FakeServer.h"
+#include "instance/FleetObserver.h"
 #include "instance/InstanceCore.h"
 #include "telemetry/Metrics.h"
 #include "testing/FakePlatform.h"
@@ -69,6 +70,8 @@
 
   TestLoop Loop;
   FakePlatform Store;
+  /// Records what callers, servers and operators see.
+  FleetObserver Observer;
   std::map<std::string, Node> Nodes;
   std::map<std::string, FakeServer> Servers;
   /// One way between instances.
@@ -89,6 +92,7 @@
                              std::string Method, nlohmann::json Body);
   asio::awaitable<DispatchResult> attempt(BackendServer Server,
                                           DispatchRequest Request);
+  void observe();
   bool canReach(const Node &From, const Node &To) const;
   AdminReply admin(std::function<asio::awaitable<AdminReply>()> Call);
 
@@ -96,6 +100,9 @@
   std::vector<std::unique_ptr<InstanceCore>> Ended;
   std::vector<std::unique_ptr<Metrics>> EndedCounters;
   std::uint64_t Incarnations = 0;
+  std::uint64_t Requests = 0;
+  std::uint64_t ConfigSeen = 0;
+  Clock::time_point NextObservation = Clock::time_point::min();
 };
 
 /// Intents as JSON text, for tests.
