Name the address of a failed handshake in its event

Cause: an instance that is contacted without the secret could not say by whom. Change: PeerEvent carries the address and port of the other end for HandshakeFailed.

--- a/src/libs/peerlink/Link.cpp
+++ b/src/libs/peerlink/Link.cpp
@@ -1,5 +1,7 @@
 #include "peerlink/Link.h"
 
+#include "peerlink/PeerAddress.h"
+
 #include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/co_spawn.hpp>
@@ -89,6 +91,9 @@
 
 void Link::start() {
   asio::error_code Ignored;
+  const auto Remote = this->Socket.remote_endpoint(Ignored);
+  if (!Ignored)
+    this->RemoteAddress = formatPeerAddress(Remote);
   this->Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
   const auto Self = this->shared_from_this();
   const auto Executor = this->Socket.get_executor();
--- a/src/libs/peerlink/Link.h
+++ b/src/libs/peerlink/Link.h
@@ -42,6 +42,8 @@
   bool isRetiring() const { return this->Retiring; }
   const PeerIdentity &peer() const { return this->Auth.peer(); }
   const std::string &expectedName() const { return this->ExpectedName; }
+  /// Address and port of the other end.
+  const std::string &remoteAddress() const { return this->RemoteAddress; }
   /// Unique among the links of the instance.
   std::uint64_t serial() const { return this->Serial; }
   std::optional<Clock::duration> roundTrip() const { return this->RoundTrip; }
@@ -77,6 +79,7 @@
   std::shared_ptr<LinkHost> Host;
   std::string ExpectedName;
   std::uint64_t Serial;
+  std::string RemoteAddress;
   Handshake Auth;
   WebSocketCodec Codec;
   Timer Watch;
--- a/src/libs/peerlink/PeerAddress.cpp
+++ b/src/libs/peerlink/PeerAddress.cpp
@@ -27,4 +27,10 @@
   return asio::ip::tcp::endpoint(Address, Port);
 }
 
+std::string formatPeerAddress(const asio::ip::tcp::endpoint &Address) {
+  const std::string Host = Address.address().to_string();
+  const std::string Port = ":" + std::to_string(Address.port());
+  return Address.address().is_v6() ? "[" + Host + "]" + Port : Host + Port;
+}
+
 } // namespace rr
--- a/src/libs/peerlink/PeerEvent.h
+++ b/src/libs/peerlink/PeerEvent.h
@@ -28,6 +28,8 @@
   Kind What = Kind::LinkUp;
   std::string Peer;
   LinkEnd Reason = LinkEnd::Lost;
+  /// Other end of a connection whose handshake failed, as 127.0.0.1:80.
+  std::string Address;
 };
 
 } // namespace rr
--- a/src/libs/peerlink/PeerNodeState.cpp
+++ b/src/libs/peerlink/PeerNodeState.cpp
@@ -129,11 +129,11 @@
 }
 
 void PeerNode::State::report(PeerEvent::Kind What, const std::string &Peer,
-                             LinkEnd Reason) {
+                             LinkEnd Reason, const std::string &Address) {
   if (!this->OnEvent)
     return;
   const EventHandler Kept = this->OnEvent;
-  Kept({What, Peer, Reason});
+  Kept({What, Peer, Reason, Address});
 }
 
 Link *PeerNode::State::activeLink(const std::string &Peer) const {
@@ -197,8 +197,8 @@
     ++this->Host->Counters.LinksDown;
     this->report(PeerEvent::Kind::LinkDown, Ended.peer().Name, Reason);
   } else if (!Ended.wasUp() && Reason != LinkEnd::Duplicate) {
-    this->report(PeerEvent::Kind::HandshakeFailed, Ended.expectedName(),
-                 Reason);
+    this->report(PeerEvent::Kind::HandshakeFailed, Ended.expectedName(), Reason,
+                 Ended.remoteAddress());
   }
 }
 
--- a/src/libs/peerlink/PeerNodeState.h
+++ b/src/libs/peerlink/PeerNodeState.h
@@ -49,7 +49,8 @@
                                  std::shared_ptr<PeerSlot> Slot);
   asio::awaitable<bool> dialOnce(PeerSlot &Slot);
   Clock::duration backOff(int Failures);
-  void report(PeerEvent::Kind What, const std::string &Peer, LinkEnd Reason);
+  void report(PeerEvent::Kind What, const std::string &Peer, LinkEnd Reason,
+              const std::string &Address = std::string());
 
   std::optional<LinkEnd> admit(Link &New);
   bool isPreferred(const Link &Candidate) const;
--- a/src/libs/peerlink/tst_PeerFaults.cpp
+++ b/src/libs/peerlink/tst_PeerFaults.cpp
@@ -161,6 +161,8 @@
   Garbage.write("\x16\x03\x01 garbage \xff\xfe\r\n\r\n");
   CHECK(Bed.settle([&] { return Garbage.isClosed(); }));
   CHECK(A->counters().MalformedPeers == 1);
+  CHECK(Bed.Events.back().Address ==
+        PeerTestBed::address(Garbage.Socket.local_endpoint().port()));
   Bed.advance(4s);
   CHECK(Bed.settle([&] { return Mute.isClosed(); }));
   CHECK(A->counters().HandshakeTimeouts == 1);
