--- a/src/features/limits/tst_ShareAdmission.cpp
+++ b/src/features/limits/tst_ShareAdmission.cpp
@@ -52,6 +52,9 @@
       {B, A, 1, 1, "w", {0, Ten, 2 * OneRequest}, true}, Start);
   CHECK(Second.Admitted == std::vector<std::uint64_t>{1, 2});
   CHECK_FALSE(Test.Admission.nextWake(Start));
+  // A burst of ten has one home, so the capacity goes back after use.
+  REQUIRE(Second.GiveBack.size() == 1);
+  CHECK(Second.GiveBack[0].Amount == ShareAmount{0, Ten, 0});
 }
 
 // Guards against requests that wait although no token can come in time, and
@@ -67,6 +70,19 @@
   CHECK(Test.Admission.wake(Start + 100ms).Admitted.size() == 1);
 }
 
+// Guards against queues without bound, and against waiting for a token at an
+// instance whose bucket cannot hold one.
+TEST_CASE("Waiting needs room in the queue and in the bucket") {
+  Fixture Test;
+  Test.reportTokens();
+  for (std::uint64_t Id = 0; Id < ShareAdmission::MaxWaiting; ++Id)
+    REQUIRE(Test.Admission.arrive("w", Id, Start).Refused.empty());
+  CHECK(Test.Admission.arrive("w", 999, Start).Refused.size() == 1);
+  Fixture Small;
+  REQUIRE(Small.Ledger.release({A, B, 1, "w", {0, OneRequest, 0}, {}}, Start));
+  CHECK(Small.Admission.arrive("w", 1, Start).Refused.size() == 1);
+}
+
 // Guards against requests that wait for ever when the answer is lost, and
 // against admissions of those that wait after the proof lapsed.
 TEST_CASE("Waiting ends at its deadline or with the proof") {
--- a/src/features/limits/tst_ShareAllocator.cpp
+++ b/src/features/limits/tst_ShareAllocator.cpp
@@ -139,7 +139,7 @@
         AllocationReason::HolderAdded);
   const auto Revised = addHolders(Second, 1, Members);
   Allocator.observe(Revised, Start);
-  CHECK_FALSE(Allocator.isDue(Allowances, Members, Start + 60s));
+  CHECK_FALSE(Allocator.isDue(Allowances, Members, Start + 62s));
   ShareLedger Ledger({"c", 1}, Start);
   REQUIRE(Ledger.adopt(Second, Start));
   CHECK_FALSE(Ledger.isListed());
--- a/src/features/limits/tst_ShareBalancer.cpp
+++ b/src/features/limits/tst_ShareBalancer.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr MicroRequests Ten = 10 * OneRequest;
+
 /// Report of one member with equal rate and burst, and half its tokens.
 DemandReport reportOf(const std::string &Name, const std::string &Zone,
                       int Held, int Demand) {
@@ -131,6 +133,11 @@
   CHECK(Parts[3].Rate + Parts[7].Rate == Total.Rate);
   CHECK(Parts[3].Burst >= OneRequest);
   CHECK(homeCount(5 * OneRequest, 12) == 1);
+  const auto Single = divideAllowance(Total, Demand, 1, Held);
+  CHECK(Single[3] == Total);
+  for (const ShareAmount &Part :
+       divideAllowance({Ten, 5 * OneRequest, 0}, Demand, 12, Held))
+    CHECK((Part.Rate > 0) == (Part.Burst > 0));
 }
 
 // Guards against borrowing from holders without tokens, and against messages
