Compare versions only within one share of the traffic

Change: the windows begin anew with each change of share; the reference for 100% is the most recent full window. Conclusion: evidence from the stage before is given up for a fair comparison.

--- a/src/features/plans/PlanExecutor.cpp
+++ b/src/features/plans/PlanExecutor.cpp
@@ -155,9 +155,10 @@
   if (!Own.Rollout)
     Own.Rollout = std::make_unique<RolloutWatch>(
         Current.Id, Split->StableVersion, Wish->Version);
+  Own.Rollout->enterStage(Current.StepsDone);
   Own.Rollout->update(this->Services.VersionReports(Wish->Service),
                       Clock::now());
-  View.StageRequests = Own.Rollout->requestsInStage(Current.StepsDone);
+  View.StageRequests = Own.Rollout->requestsInStage();
   if (const auto Stop = this->Services.StopOf(Current.Id))
     View.Bad = Stop->Reason + " (seen by " + Stop->Instance + ")";
   else
--- a/src/features/plans/RolloutTraffic.h
+++ b/src/features/plans/RolloutTraffic.h
@@ -43,6 +43,9 @@
 
   /// Further failures that hit both versions alike.
   std::function<double(Clock::duration Since)> Surroundings;
+  /// Time since the traffic began.
+  Clock::duration age() const { return Clock::now() - this->Begin; }
+
   /// Without guards the instances stop nothing by themselves.
   bool Guarded = true;
   std::uint64_t CandidateRequests = 0;
--- a/src/features/plans/RolloutWatch.cpp
+++ b/src/features/plans/RolloutWatch.cpp
@@ -20,12 +20,12 @@
     this->Evidence = Verdict->Text;
 }
 
-std::uint64_t RolloutWatch::requestsInStage(std::size_t StepsDone) {
-  if (this->Stage != StepsDone) {
-    this->Stage = StepsDone;
-    this->RequestsBefore = this->Comparison.candidateRequests();
-  }
-  return this->Comparison.candidateRequests() - this->RequestsBefore;
+void RolloutWatch::enterStage(std::size_t StepsDone) {
+  if (this->Stage == StepsDone)
+    return;
+  this->Stage = StepsDone;
+  this->RequestsBefore = this->Comparison.candidateRequests();
+  this->Comparison.beginStage();
 }
 
 } // namespace rr
--- a/src/features/plans/RolloutWatch.h
+++ b/src/features/plans/RolloutWatch.h
@@ -16,13 +16,18 @@
 public:
   RolloutWatch(std::string Plan, std::string Stable, std::string Candidate);
 
+  /// Says how many steps are done; a new number begins a stage.
+  void enterStage(std::size_t StepsDone);
+
   void update(const std::vector<VersionReport> &Reports, Clock::time_point At);
 
   /// Evidence against the candidate; stays once it was found.
   const std::optional<std::string> &evidence() const { return this->Evidence; }
 
-  /// Requests of the candidate since the watch first saw this many steps done.
-  std::uint64_t requestsInStage(std::size_t StepsDone);
+  /// Requests of the candidate since the watch first saw this stage.
+  std::uint64_t requestsInStage() const {
+    return this->Comparison.candidateRequests() - this->RequestsBefore;
+  }
 
 private:
   std::string Plan;
--- a/src/features/plans/tst_Rollout.cpp
+++ b/src/features/plans/tst_Rollout.cpp
@@ -98,6 +98,34 @@
   }
 }
 
+// Guards against blame for an outage that hits both versions while the share
+// grows from 5% to 50%.
+TEST_CASE("An outage of both versions does not take a good one back") {
+  for (std::uint64_t Seed = 0; Seed < 3; ++Seed) {
+    RolloutRun Run(Seed, [](auto, auto, auto) { return Good; });
+    Run.Traffic.Surroundings = [](Clock::duration Since) {
+      return Since > 320s && Since < 510s ? 0.05 : 0.0;
+    };
+    double Least = 1;
+    double Most = 0;
+    const auto Before = Run.World.OnTick;
+    Run.World.OnTick = [&] {
+      Before();
+      const auto &Config = Run.World.Fleet.adopted("i2");
+      const double Share = Config.Splits.front().CanaryShare;
+      if (Run.Traffic.Surroundings(Run.Traffic.age()) > 0) {
+        Least = std::min(Least, Share);
+        Most = std::max(Most, Share);
+      }
+    };
+    const Plan End = Run.finish();
+    INFO(End.Result);
+    CHECK(End.State == PlanState::Finished);
+    CHECK(Least == 0.05);
+    CHECK(Most == 0.5);
+  }
+}
+
 // Guards against each kind of bad version that the design page names: it is
 // taken back, says why, and gets nothing 5 s after enough of its faults are
 // seen. Ten failures or slow answers are enough at these rates.
--- a/src/features/rollout/VersionComparison.cpp
+++ b/src/features/rollout/VersionComparison.cpp
@@ -76,13 +76,23 @@
   Before = Reached;
 }
 
-const VersionCounts &
-VersionComparison::reference(const std::string &Route,
-                             const VersionCounts &Current) {
-  VersionCounts &Last = this->References[Route];
-  if (Current.Requests >= LeastReference || Current.Requests >= Last.Requests)
-    Last = Current;
-  return Current.Requests >= LeastConcurrent ? Current : Last;
+void VersionComparison::beginStage() {
+  for (VersionWindow &Window : this->Windows)
+    Window.clear();
+}
+
+// The shortest window that is full enough is the most recent evidence.
+void VersionComparison::updateReferences() {
+  std::map<std::string, VersionCounts> Found;
+  for (const VersionWindow &Window : this->Windows)
+    for (const auto &[Route, Counts] : Window.sums())
+      if (Found[Route].Requests < LeastReference)
+        Found[Route] = Counts.Stable;
+  for (const auto &[Route, Counts] : Found) {
+    VersionCounts &Last = this->References[Route];
+    if (Counts.Requests >= LeastReference || Counts.Requests >= Last.Requests)
+      Last = Counts;
+  }
 }
 
 std::optional<VersionVerdict>
@@ -105,13 +115,15 @@
 }
 
 std::optional<VersionVerdict>
-VersionComparison::checkWindow(const VersionWindow &Window) {
+VersionComparison::checkWindow(const VersionWindow &Window) const {
   VersionCounts Candidate;
   VersionCounts Stable;
   for (const auto &[Route, Counts] : Window.sums()) {
-    VersionCounts Against = this->reference(Route, Counts.Stable);
-    if (Counts.Stable.Requests < LeastConcurrent)
+    VersionCounts Against = Counts.Stable;
+    if (Counts.Stable.Requests < LeastConcurrent) {
+      Against = this->References.at(Route);
       Against.Slow = std::min(Against.Slow * SlowFactorAlone, Against.Requests);
+    }
     if (auto Found = this->checkPair(Route, Counts.Candidate, Against))
       return Found;
     // Routes that only one version has served would shift the total.
@@ -124,11 +136,12 @@
 }
 
 std::optional<VersionVerdict> VersionComparison::check(Clock::time_point At) {
-  for (VersionWindow &Window : this->Windows) {
+  for (VersionWindow &Window : this->Windows)
     Window.expire(At);
+  this->updateReferences();
+  for (const VersionWindow &Window : this->Windows)
     if (auto Found = this->checkWindow(Window))
       return Found;
-  }
   return std::nullopt;
 }
 
--- a/src/features/rollout/VersionComparison.h
+++ b/src/features/rollout/VersionComparison.h
@@ -28,6 +28,12 @@
   void observe(const std::string &Source, const VersionStats &Reached,
                Clock::time_point At);
 
+  /// Forgets the counts of the windows because the candidate's share changes.
+  /// Counts of two shares must not be added: a fault of the surroundings at
+  /// the larger share would weigh more for the candidate than for the stable
+  /// version.
+  void beginStage();
+
   /// The evidence when the candidate is bad.
   std::optional<VersionVerdict> check(Clock::time_point At);
 
@@ -35,19 +41,18 @@
   std::uint64_t candidateRequests() const { return this->Requests; }
 
 private:
-  std::optional<VersionVerdict> checkWindow(const VersionWindow &Window);
+  std::optional<VersionVerdict> checkWindow(const VersionWindow &Window) const;
   std::optional<VersionVerdict> checkPair(const std::string &Route,
                                           const VersionCounts &Candidate,
                                           const VersionCounts &Stable) const;
-  const VersionCounts &reference(const std::string &Route,
-                                 const VersionCounts &Current);
+  void updateReferences();
 
   std::string Stable;
   std::string Candidate;
   VersionRule Rule;
   std::vector<VersionWindow> Windows;
-  /// The last well-filled counts of the stable version, for the time when it
-  /// gets little or no traffic.
+  /// The most recent well-filled counts of the stable version, for the time
+  /// when it gets little or no traffic.
   std::map<std::string, VersionCounts> References;
   std::map<std::string, VersionStats> Sources;
   std::uint64_t Requests = 0;
--- a/src/features/rollout/VersionGuard.cpp
+++ b/src/features/rollout/VersionGuard.cpp
@@ -29,12 +29,21 @@
            Split->CanaryVersion != Item.second.Candidate;
   });
   for (const VersionSplit &Split : Config.Splits) {
-    if (!isRollout(Split) || this->Rollouts.count(Split.Service))
+    if (!isRollout(Split))
       continue;
+    const auto Known = this->Rollouts.find(Split.Service);
+    if (Known != this->Rollouts.end()) {
+      if (std::exchange(Known->second.Share, Split.CanaryShare) !=
+          Split.CanaryShare) {
+        Known->second.Comparison.beginStage();
+        Known->second.Together.beginStage();
+      }
+      continue;
+    }
     VersionComparison Comparison(Split.StableVersion, Split.CanaryVersion,
                                  this->Rule);
-    Rollout Begun{Split.CanaryVersion, Split.StableVersion, {},
-                  Comparison,          Comparison,          {}};
+    Rollout Begun{Split.CanaryVersion, Split.StableVersion, {}, Comparison,
+                  Comparison,          Split.CanaryShare,   {}};
     Begun.Stats.Plan = Split.Plan;
     this->Rollouts.emplace(Split.Service, std::move(Begun));
   }
--- a/src/features/rollout/VersionGuard.h
+++ b/src/features/rollout/VersionGuard.h
@@ -61,6 +61,7 @@
     VersionComparison Comparison;
     /// Of all instances whose counts are known here.
     VersionComparison Together;
+    double Share = 0;
     std::optional<VersionStop> Stop;
   };
 
--- a/src/features/rollout/VersionWindow.cpp
+++ b/src/features/rollout/VersionWindow.cpp
@@ -21,6 +21,11 @@
   (OfCandidate ? Sum.Candidate : Sum.Stable) += Counts;
 }
 
+void VersionWindow::clear() {
+  this->Buckets.clear();
+  this->Sums.clear();
+}
+
 void VersionWindow::expire(Clock::time_point At) {
   while (!this->Buckets.empty() &&
          At - this->Buckets.front().Start > this->Length) {
--- a/src/features/rollout/VersionWindow.h
+++ b/src/features/rollout/VersionWindow.h
@@ -24,6 +24,7 @@
 
   void add(const std::string &Route, bool OfCandidate,
            const VersionCounts &Counts, Clock::time_point At);
+  void clear();
   void expire(Clock::time_point At);
   const RouteCounts &sums() const { return this->Sums; }
 
--- a/src/features/rollout/tst_VersionComparison.cpp
+++ b/src/features/rollout/tst_VersionComparison.cpp
@@ -112,6 +112,20 @@
   CHECK(Condemned == 0);
 }
 
+// Guards against blame for a fault of both versions that comes when the
+// candidate's share has grown: most of its answers are from that time.
+TEST_CASE("A fault of both versions after a change of share is no evidence") {
+  VersionComparison Comparison("1", "2");
+  const Clock::time_point Start;
+  Comparison.record("read", "1", {20000, 40, 1000}, Start);
+  Comparison.record("read", "2", {200, 0, 10}, Start);
+  CHECK_FALSE(Comparison.check(Start));
+  Comparison.beginStage();
+  Comparison.record("read", "1", {5000, 250, 250}, Start + 30s);
+  Comparison.record("read", "2", {5000, 250, 250}, Start + 30s);
+  CHECK_FALSE(Comparison.check(Start + 30s));
+}
+
 // Guards against a fault on a seldom used route that drowns in the total.
 TEST_CASE("A fault on a small route is found") {
   VersionComparison Comparison("1", "2");
@@ -139,6 +153,20 @@
   CHECK(Comparison.check(Start + 901s));
 }
 
+// Guards against good versions that are taken back at 100% because the share
+// of slow answers was measured at another time and against another threshold.
+TEST_CASE(
+    "Slow answers without a stable version beside must be twice as many") {
+  VersionComparison Comparison("1", "2");
+  const Clock::time_point Start;
+  Comparison.record("read", "1", {5000, 0, 250}, Start);
+  CHECK_FALSE(Comparison.check(Start));
+  Comparison.record("read", "2", {5000, 0, 425}, Start + 700s);
+  CHECK_FALSE(Comparison.check(Start + 700s));
+  Comparison.record("read", "2", {5000, 0, 1250}, Start + 701s);
+  CHECK(Comparison.check(Start + 701s));
+}
+
 // Guards against counts that are added twice, or as a negative number, when
 // the instance that reports them starts again.
 TEST_CASE("Reached counts add up over restarts of their source") {
