--- a/src/bench/BenchCommands.cpp
+++ b/src/bench/BenchCommands.cpp
@@ -1,6 +1,7 @@
 #include "bench/BenchCommands.h"
 
 #include "bench/LimitsBench.h"
+#include "bench/RolloutBench.h"
 
 namespace rr {
 
@@ -16,6 +17,7 @@
     {"limits", "rate limiting policies; --seed N, --seconds N, --between-ms N",
      runLimitsBench},
     {"lookup", "rate and memory of the client block table", runLookupBench},
+    {"rollout", "version comparison, shifts and drains", runRolloutBench},
     {"routing", "policy simulation; optional argument: seed", runRoutingBench},
 };
 
