Order a kill and a cut of the same time by the record

Change: the check of planned stops excuses a cut only when the kill comes before it in the timeline, where the order of recording decides between events of the same time.

Conclusion: the check is stricter; no mutation or bound changed.

--- a/src/history/CheckStops.cpp
+++ b/src/history/CheckStops.cpp
@@ -1,6 +1,8 @@
 #include "history/Bounds.h"
 #include "history/Checks.h"
 
+#include <functional>
+
 namespace rr::history {
 
 namespace {
@@ -37,8 +39,10 @@
     return false;
   if (!Stop.End)
     return true;
-  const bool Killed =
-      Stop.End->State == InstanceState::Killed && Stop.End->At <= Answered.At;
+  // Both are elements of the timeline, so their addresses tell their order,
+  // also at the same time.
+  const bool Killed = Stop.End->State == InstanceState::Killed &&
+                      std::less<const void *>()(Stop.End, &Answered);
   return Sent.At <= Stop.End->At && !Killed;
 }
 
