--- a/src/features/instance/InstanceCore.h
+++ b/src/features/instance/InstanceCore.h
@@ -58,6 +58,7 @@
   const InstanceState &state() const { return this->State; }
   InstanceState &state() { return this->State; }
   std::size_t running() const { return this->Running; }
+  const ReportExchange &reports() const { return this->Reports; }
 
 private:
   RequestServices requestServices();
--- a/src/features/instance/ReportExchange.cpp
+++ b/src/features/instance/ReportExchange.cpp
@@ -139,7 +139,14 @@
     if (Item->Demand.Region == Region)
       OfRegion.push_back(Item);
   }
-  this->sendTo(Exchange.zoneSummaryTargets(Now), OfZone, Now);
+  // Not the targets of zone summaries: a summary is answered, so that only one
+  // of two relays sends it, while reports go in both directions.
+  std::vector<std::string> OtherRelays;
+  for (const std::string &Zone : Members.zones())
+    if (Zone != Self.Zone)
+      for (const std::string &Relay : Members.relays(Zone, Now))
+        OtherRelays.push_back(Relay);
+  this->sendTo(OtherRelays, OfZone, Now);
   std::vector<std::string> ZoneMembers;
   for (const MemberEntry *Entry : Members.countedIn(Self.Zone))
     if (Entry->Record.Name != Self.Name)
--- a/src/features/instance/tst_Fleet.cpp
+++ b/src/features/instance/tst_Fleet.cpp
@@ -192,3 +192,12 @@
   Fleet.advance(20s);
   CHECK(Fleet.request("a1x", "/stock/1").Status == 200);
 }
+
+// Guards against reports that reach only the relays of zones with a greater
+// name, which left the first zone without the load of the others.
+TEST_CASE("Every relay has recent reports of every instance") {
+  InstanceFleet Fleet;
+  Fleet.bringUp();
+  for (const char *Name : {"a1x", "a2x", "b1x"})
+    CHECK(Fleet.core(Name).reports().recent(Clock::now()).size() == 4);
+}
--- a/src/features/routing/tst_ShiftMeter.cpp
+++ b/src/features/routing/tst_ShiftMeter.cpp
@@ -74,7 +74,7 @@
 // request, and against a stop that the next configuration undoes.
 TEST_CASE("A canary keeps its meter and stays stopped") {
   FleetConfig Config;
-  Config.Splits = {{"stock", "1", "2", 0.05}};
+  Config.Splits = {{"stock", "1", "2", 0.05, ""}};
   VersionChooser Versions;
   int Moved = 0;
   for (int I = 0; I < 200; ++I) {
