--- a/src/bench/BenchCommands.cpp
+++ b/src/bench/BenchCommands.cpp
@@ -1,5 +1,7 @@
 #include "bench/BenchCommands.h"
 
+#include "bench/CapacityBench.h"
+
 namespace rr {
 
 int runDecisionBench(const std::vector<std::string> &Arguments);
@@ -9,6 +11,8 @@
 namespace {
 
 constexpr BenchCommand Commands[] = {
+    {"capacity", "costs of control at several sizes of the fleet",
+     runCapacityBench},
     {"decision", "time per routing decision at 26, 130 and 260 sites",
      runDecisionBench},
     {"lookup", "rate and memory of the client block table", runLookupBench},
