Measure fleet summaries while zones are silent

Cause: a silent member is named in every fleet summary, and the table showed healthy fleets only.

Change: a series with 0, 1, 2 and 4 silent zones of 48 members.

--- a/src/bench/CapacityFleet.cpp
+++ b/src/bench/CapacityFleet.cpp
@@ -151,7 +151,9 @@
     if (Item.Name == Table.self().Name)
       continue;
     Table.merge(Item);
-    Table.heard(Item.Name, 1, At);
+    const std::size_t Zone = I % this->Zones;
+    if (Zone == 0 || Zone > this->SilentZones)
+      Table.heard(Item.Name, 1, At);
     Table.acknowledge(Item.Name, 1, HeldVersions);
     Table.setSynchronised(Item.Name, 1);
   }
--- a/src/bench/CapacityFleet.h
+++ b/src/bench/CapacityFleet.h
@@ -21,6 +21,8 @@
   std::size_t Servers = 0;
   std::size_t Services = 3;
   std::size_t Workspaces = 8;
+  /// Zones, from the second one on, whose members were not heard of.
+  std::size_t SilentZones = 0;
 
   /// The quantities of the design page, section "Size to come", with four
   /// servers an instance as in both deployments of today.
@@ -36,7 +38,8 @@
   LoadReport load() const;
   /// All members in equal parts.
   ShareAllocation allocation() const;
-  /// Adds all members but the table's own, as heard of at \p At.
+  /// Adds all members but the table's own; those outside of the silent zones
+  /// were heard of at \p At.
   void fill(MemberTable &Table, Clock::time_point At) const;
 };
 
--- a/src/bench/CapacityMessageBench.cpp
+++ b/src/bench/CapacityMessageBench.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t MemberCounts[] = {12, 325, 650, 1300};
 constexpr std::size_t ZoneCounts[] = {6, 9, 18, 27};
 constexpr std::size_t WorkspaceCounts[] = {8, 32, 128};
+// A region of the fleet to come has three or four zones.
+constexpr std::size_t SilentZoneCounts[] = {0, 1, 2, 4};
 constexpr std::size_t ServiceCounts[] = {3, 12, 48};
 
 // The four parts of one call between two instances.
@@ -213,6 +215,9 @@
   measureHeartbeats("workspaces",
                     fleetsOf(WorkspaceCounts, &CapacityFleet::Workspaces),
                     &CapacityFleet::Workspaces);
+  measureHeartbeats("zones gone",
+                    fleetsOf(SilentZoneCounts, &CapacityFleet::SilentZones),
+                    &CapacityFleet::SilentZones);
   measureZoneSummaries();
 }
 
--- a/src/bench/CapacityStateBench.cpp
+++ b/src/bench/CapacityStateBench.cpp
@@ -158,7 +158,8 @@
     const FleetConfig Config = Fleet.config(1);
     const auto Entries = entriesOf(Fleet);
     Directory.add(Count, measureCost([&] {
-                    const std::vector<EntryInstance> Copy = Entries;
+                    const std::vector<EntryInstance> Copy(Entries.begin(),
+                                                          Entries.end());
                     return EntryDirectory(Config, Copy);
                   }));
   }
