Make the size of a look-up answer the same at every run

Cause: the printed size was that of the last answer of a loop bounded by time, so that it differed by three bytes between runs.

Change: the mean of 1,000 fixed clients.

--- a/src/bench/CapacityStateBench.cpp
+++ b/src/bench/CapacityStateBench.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t MemberCounts[] = {12, 325, 650, 1300};
 constexpr std::size_t KeyCounts[] = {1000, 10000, 100000};
 constexpr std::size_t ChangedBlocks = 100;
+// A fixed number, so that the mean size is the same at every run.
+constexpr std::size_t SampledAnswers = 1000;
 
 // A benchmark with wrong input measures nothing.
 template <typename T> T require(Outcome<T> Value) {
@@ -132,14 +134,16 @@
     Build.add(Count, measureCost([&] { return readBlocks(Config); }));
     ClientBlocks Blocks = readBlocks(Config);
     const EntryDirectory Directory(Config, entriesOf(Fleet));
+    const auto AnswerTo = [&](std::size_t Index) {
+      const std::string &Prefix = Config.Blocks[Index * 7919 % Count].Prefix;
+      return answerOf(Blocks, Directory, Prefix.substr(0, Prefix.find('/')));
+    };
     CapacityCost Cost;
+    for (std::size_t I = 0; I < SampledAnswers; ++I)
+      Cost.WireBytes += static_cast<std::int64_t>(AnswerTo(I).size());
+    Cost.WireBytes /= static_cast<std::int64_t>(SampledAnswers);
     std::size_t Next = 0;
-    Cost.Cpu = measureCpu([&] {
-      const std::string &Prefix = Config.Blocks[++Next * 7919 % Count].Prefix;
-      Cost.WireBytes = static_cast<std::int64_t>(
-          answerOf(Blocks, Directory, Prefix.substr(0, Prefix.find('/')))
-              .size());
-    });
+    Cost.Cpu = measureCpu([&] { AnswerTo(++Next); });
     Answer.add(Count, Cost);
     std::uint16_t Site = 0;
     Change.add(Count, measureCost([&] {
