--- a/src/bench/BenchCommands.cpp
+++ b/src/bench/BenchCommands.cpp
@@ -1,5 +1,6 @@
 #include "bench/BenchCommands.h"
 
+#include "bench/CapacityBench.h"
 #include "bench/LimitsBench.h"
 #include "bench/RolloutBench.h"
 
@@ -12,6 +13,8 @@
 namespace {
 
 constexpr BenchCommand Commands[] = {
+    {"capacity", "costs of control at several sizes of the fleet",
+     runCapacityBench},
     {"decision", "time per routing decision at 26, 130 and 260 sites",
      runDecisionBench},
     {"limits", "rate limiting policies; --seed N, --seconds N, --between-ms N",
