Test that calls on a duplicate link are not lost

Cause: a trial that ended the duplicate link at once, in place of retiring it, left every test green. Change: the case of links opened by both ends calls as soon as a link is up, and expects the answer and exactly one duplicate at each end. Conclusion: a start of two instances at the same moment loses no call.

--- a/src/libs/peerlink/tst_PeerNode.cpp
+++ b/src/libs/peerlink/tst_PeerNode.cpp
@@ -136,26 +136,45 @@
   CHECK(A->counters().ConnectsRefused - Before >= 9);
 }
 
-// Guards against two ends that each close the link that the other one keeps.
+// Guards against two ends that each close the link that the other one keeps,
+// and against the loss of calls on the link that is not kept.
 TEST_CASE("Links opened by both ends at once leave one that works") {
   PeerTestBed Bed;
   const auto A = Bed.node("a"), B = Bed.node("b");
   echo(*A);
   echo(*B);
-  REQUIRE(A->connect("b", PeerTestBed::address(B->port())));
-  REQUIRE(B->connect("a", PeerTestBed::address(A->port())));
-  REQUIRE(Bed.settle([&] { return A->isLinked("b") && B->isLinked("a"); }));
   std::size_t Answers = 0;
   const auto Count = [&](const Outcome<Message> &Answer) {
     Answers += Answer.has_value();
   };
-  for (int Round = 0; Round < 50; ++Round) {
+  const auto CallBoth = [&] {
     A->call("b", {"echo", ""}, Clock::now() + 2s, Count);
     B->call("a", {"echo", ""}, Clock::now() + 2s, Count);
+  };
+  // The first calls go out on a link as soon as it is up.
+  std::size_t Ups = 0;
+  const auto CallAtOnce = [&](PeerNode &Node, const std::string &Peer) {
+    Node.onEvent([&, Peer](const PeerEvent &Event) {
+      Bed.Events.push_back(Event);
+      if (Event.What != PeerEvent::Kind::LinkUp)
+        return;
+      ++Ups;
+      Node.call(Peer, {"echo", ""}, Clock::now() + 2s, Count);
+    });
+  };
+  CallAtOnce(*A, "b");
+  CallAtOnce(*B, "a");
+  REQUIRE(A->connect("b", PeerTestBed::address(B->port())));
+  REQUIRE(B->connect("a", PeerTestBed::address(A->port())));
+  REQUIRE(Bed.settle([&] { return Answers == 2; }));
+  for (int Round = 0; Round < 50; ++Round) {
+    CallBoth();
     Bed.advance(100ms);
   }
-  CHECK(Bed.settle([&] { return Answers == 100; }));
-  CHECK(A->counters().DuplicateLinks == B->counters().DuplicateLinks);
+  CHECK(Bed.settle([&] { return Answers == 102; }));
+  CHECK(Ups == 2);
+  CHECK(A->counters().DuplicateLinks == 1);
+  CHECK(B->counters().DuplicateLinks == 1);
   CHECK_FALSE(Bed.saw(PeerEvent::Kind::LinkDown));
   CHECK_FALSE(Bed.saw(PeerEvent::Kind::HandshakeFailed));
 }
