Send one status for the whole fleet in fleet summaries

Change: a fleet summary has one status over all members and the headroom by zone; relays of two zones exchange one call in place of two; members are indexed by zone; fetches of members name the digests that the sender has.

--- a/src/features/keys/ControlNode.cpp
+++ b/src/features/keys/ControlNode.cpp
@@ -167,14 +167,13 @@
   Found->second.noteAck(*Ack);
   // The peer may know members that this instance does not.
   if (Ack->ListDigest != this->Members.listDigest()) {
-    const std::vector<std::string> AllZones;
-    static_cast<void>(co_await this->fetchMembers(Peer, AllZones));
+    static_cast<void>(co_await this->fetchMembers(Peer));
   }
 }
 
 void ControlNode::fillLater(const std::string &Peer, const MessageGap &Gap) {
   const bool StartsUp = !this->Freshness.isSynchronised();
-  if (!Gap.State && Gap.Zones.empty() && !StartsUp)
+  if (!Gap.State && !Gap.Members && !StartsUp)
     return;
   if (this->InFlight.insert("fill " + Peer).second)
     asio::co_spawn(this->Executor, this->fill(Peer, Gap), asio::detached);
@@ -182,10 +181,8 @@
 
 asio::awaitable<void> ControlNode::fill(std::string Peer, MessageGap Gap) {
   const bool StartsUp = !this->Freshness.isSynchronised();
-  if (StartsUp)
-    Gap.Zones.clear();
-  if (StartsUp || !Gap.Zones.empty())
-    static_cast<void>(co_await this->fetchMembers(Peer, Gap.Zones));
+  if (StartsUp || Gap.Members)
+    static_cast<void>(co_await this->fetchMembers(Peer));
   if (StartsUp || Gap.State) {
     static_cast<void>(co_await this->fetchConfig(Peer));
     static_cast<void>(co_await this->fetchKeys(Peer));
@@ -193,9 +190,8 @@
   this->InFlight.erase("fill " + Peer);
 }
 
-asio::awaitable<Outcome<void>>
-ControlNode::fetchMembers(std::string Peer, std::vector<std::string> Zones) {
-  const MemberFetch Message{this->Members.self(), std::move(Zones)};
+asio::awaitable<Outcome<void>> ControlNode::fetchMembers(std::string Peer) {
+  const MemberFetch Message = makeMemberFetch(this->Members);
   const auto Result =
       co_await this->call(Peer, "fetch_members", encode(Message));
   if (!Result)
--- a/src/features/keys/ControlNode.h
+++ b/src/features/keys/ControlNode.h
@@ -71,8 +71,7 @@
   asio::awaitable<void> probe(std::string Peer);
   asio::awaitable<void> push(std::string Peer, KeyHash Hash);
   asio::awaitable<void> fill(std::string Peer, MessageGap Gap);
-  asio::awaitable<Outcome<void>> fetchMembers(std::string Peer,
-                                              std::vector<std::string> Zones);
+  asio::awaitable<Outcome<void>> fetchMembers(std::string Peer);
   asio::awaitable<Outcome<void>> fetchKeys(std::string Peer);
   asio::awaitable<Outcome<void>> fetchConfig(std::string Peer);
   asio::awaitable<void> storeRound();
--- a/src/features/keys/KeySet.cpp
+++ b/src/features/keys/KeySet.cpp
@@ -3,7 +3,7 @@
 #include "base/Digest.h"
 
 #include <algorithm>
-#include <cstring>
+#include <iterator>
 
 namespace rr {
 
@@ -80,10 +80,11 @@
                             return Left.Hash == Right.Hash;
                           }),
               Added.end());
-  const auto Middle = static_cast<std::ptrdiff_t>(this->Slots.size());
-  this->Slots.insert(this->Slots.end(), Added.begin(), Added.end());
-  std::inplace_merge(this->Slots.begin(), this->Slots.begin() + Middle,
-                     this->Slots.end(), ByHash);
+  std::vector<Slot> Merged;
+  Merged.reserve(this->Slots.size() + Added.size());
+  std::merge(this->Slots.begin(), this->Slots.end(), Added.begin(), Added.end(),
+             std::back_inserter(Merged), ByHash);
+  this->Slots.swap(Merged);
 }
 
 void KeySet::completeTo(std::uint64_t Complete) {
--- a/src/features/keys/bench_ControlState.cpp
+++ b/src/features/keys/bench_ControlState.cpp
@@ -89,6 +89,15 @@
   for (int I = 0; I < 3; ++I)
     Load.Headroom["service" + std::to_string(I)] = 42;
   Exchange.setLoad(Load);
+  Summary Loads;
+  Loads.Header.From = makeMember(1, Zones);
+  for (int I = 0; I < Zones; ++I) {
+    ZoneStatus Status;
+    Status.Zone = makeMember(I, Zones).Zone;
+    Status.Load = Load;
+    Loads.Zones.push_back(Status);
+  }
+  Exchange.receive(Loads, Now);
   const std::string Peer = makeMember(Zones, Zones).Name;
   const double Heartbeat = sizeOf(encode(Exchange.makeHeartbeat(Peer, Now)));
   const double Zone = sizeOf(encode(Exchange.makeZoneSummary(Peer, Now)));
@@ -99,13 +108,13 @@
   std::printf("%d members, %d zones: heartbeat %.0f B, zoneSummary %.0f B, "
               "fleetSummary %.0f B\n",
               Count, Zones, Heartbeat, Zone, Fleet);
-  // A member calls two relays. A relay calls the other relay of its zone and
-  // those of the other zones, and is called by them and by its members.
+  // A member calls two relays. A relay exchanges a call with the other relay
+  // of its zone and with each member, and one with each relay elsewhere.
   std::printf("  member: %d messages/s, %.1f KB/s\n", 4,
               2 * (Heartbeat + Fleet) / 1e3);
   std::printf("  relay: %d messages/s, %.1f KB/s (both directions)\n",
-              2 * PerZone + 4 * Relays,
-              (PerZone * (Heartbeat + Fleet) + 4 * Relays * Zone) / 1e3);
+              2 * PerZone + 2 * Relays,
+              (PerZone * (Heartbeat + Fleet) + 2 * Relays * Zone) / 1e3);
   auto Start = Clock::now();
   for (int I = 0; I < Rounds; ++I)
     sizeOf(encode(Exchange.makeFleetSummary(Peer, Now)));
--- a/src/features/membership/MemberFetch.cpp
+++ b/src/features/membership/MemberFetch.cpp
@@ -4,14 +4,20 @@
 #include "membership/MembershipJson.h"
 #include "membership/MessageReader.h"
 
-#include <algorithm>
-
 namespace rr {
 
 using nlohmann::json;
 
+MemberFetch makeMemberFetch(const MemberTable &Members) {
+  MemberFetch Result;
+  Result.From = Members.self();
+  for (const std::string &Zone : Members.zones())
+    Result.Known[Zone] = Members.zoneDigest(Zone);
+  return Result;
+}
+
 json encode(const MemberFetch &Message) {
-  return {{"from", encode(Message.From)}, {"zones", Message.Zones}};
+  return {{"from", encode(Message.From)}, {"known", Message.Known}};
 }
 
 Outcome<MemberFetch> decodeMemberFetch(const json &Document) {
@@ -19,7 +25,9 @@
   MemberFetch Result;
   MessageReader From = Reader.object("from");
   Result.From = readMember(From);
-  Result.Zones = Reader.names("zones", MemberFetch::MostZones);
+  MessageReader Known = Reader.object("known");
+  for (const std::string &Zone : Known.keys(MemberFetch::MostZones))
+    Result.Known[Zone] = Known.name(Zone.c_str());
   if (!Reader.isGood())
     return failure(Errc::Malformed);
   return Result;
@@ -29,9 +37,9 @@
   Members.merge(Message.From);
   json List = json::array();
   for (const auto &[Name, Entry] : Members.entries()) {
-    const bool Wanted = Message.Zones.empty() ||
-                        std::find(Message.Zones.begin(), Message.Zones.end(),
-                                  Entry.Record.Zone) != Message.Zones.end();
+    const auto Known = Message.Known.find(Entry.Record.Zone);
+    const bool Wanted = Known == Message.Known.end() ||
+                        Known->second != Members.zoneDigest(Entry.Record.Zone);
     if (Wanted && List.size() < MemberFetch::MostMembers)
       List.push_back(encode(Entry.Record));
   }
--- a/src/features/membership/MemberFetch.h
+++ b/src/features/membership/MemberFetch.h
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -13,16 +14,18 @@
 
 class MemberTable;
 
-/// `fetch` of the members of some zones; of all when \p Zones is empty.
+/// `fetch` of the members of the zones that differ.
 struct MemberFetch {
   static constexpr std::size_t MostZones = 256;
   /// 2,000 members stay below the message bound of 1 MiB.
   static constexpr std::size_t MostMembers = 2000;
 
   Member From;
-  std::vector<std::string> Zones;
+  /// MemberTable::zoneDigest() of the sender for each of its zones.
+  std::map<std::string, std::string> Known;
 };
 
+MemberFetch makeMemberFetch(const MemberTable &Members);
 nlohmann::json encode(const MemberFetch &Message);
 Outcome<MemberFetch> decodeMemberFetch(const nlohmann::json &Document);
 
--- a/src/features/membership/MemberTable.cpp
+++ b/src/features/membership/MemberTable.cpp
@@ -4,7 +4,6 @@
 #include "membership/Timing.h"
 
 #include <algorithm>
-#include <set>
 
 namespace rr {
 
@@ -12,9 +11,6 @@
 
 constexpr std::size_t RelaysPerZone = 2;
 
-// Key of the digest over all zones; no zone has an empty name.
-const std::string AllZones;
-
 } // namespace
 
 MemberTable::MemberTable(Member Self)
@@ -25,6 +21,7 @@
 void MemberTable::recordsChanged() {
   ++this->Revision;
   this->Digests.clear();
+  this->ByZone.clear();
 }
 
 bool MemberTable::merge(const Member &Report) {
@@ -122,9 +119,10 @@
       Entry.GoneSince.reset();
     else if (!Entry.GoneSince)
       Entry.GoneSince = Now;
-    if (Gone && Now - *Entry.GoneSince > GoneRetention)
+    if (Gone && Now - *Entry.GoneSince > GoneRetention) {
       Next = this->Entries.erase(Next);
-    else
+      this->recordsChanged();
+    } else
       ++Next;
   }
 }
@@ -144,28 +142,29 @@
   return Found == this->Entries.end() ? nullptr : &Found->second;
 }
 
-std::vector<const MemberEntry *> MemberTable::counted() const {
-  std::vector<const MemberEntry *> Result;
-  for (const auto &[Name, Entry] : this->Entries)
-    if (isCounted(Entry.Record))
-      Result.push_back(&Entry);
-  return Result;
-}
-
-std::vector<const MemberEntry *>
+const std::vector<const MemberEntry *> &
 MemberTable::countedIn(const std::string &Zone) const {
-  std::vector<const MemberEntry *> Result;
-  for (const auto &[Name, Entry] : this->Entries)
-    if (Entry.Record.Zone == Zone && isCounted(Entry.Record))
-      Result.push_back(&Entry);
-  return Result;
+  if (this->ByZone.empty())
+    for (const auto &[Name, Entry] : this->Entries) {
+      if (!isCounted(Entry.Record))
+        continue;
+      this->ByZone[AllZones].push_back(&Entry);
+      // The platform's list may have an instance without a zone.
+      if (Entry.Record.Zone != AllZones)
+        this->ByZone[Entry.Record.Zone].push_back(&Entry);
+    }
+  static const std::vector<const MemberEntry *> None;
+  const auto Found = this->ByZone.find(Zone);
+  return Found == this->ByZone.end() ? None : Found->second;
 }
 
 std::vector<std::string> MemberTable::zones() const {
-  std::set<std::string> Result;
-  for (const MemberEntry *Entry : this->counted())
-    Result.insert(Entry->Record.Zone);
-  return {Result.begin(), Result.end()};
+  std::vector<std::string> Result;
+  this->countedIn(AllZones);
+  for (const auto &[Zone, Entries] : this->ByZone)
+    if (Zone != AllZones)
+      Result.push_back(Zone);
+  return Result;
 }
 
 bool MemberTable::isLive(const MemberEntry &Entry,
@@ -209,15 +208,4 @@
   return Digest;
 }
 
-const std::string &MemberTable::listDigest() const {
-  std::string &Digest = this->Digests[AllZones];
-  if (Digest.empty()) {
-    std::string Text;
-    for (const std::string &Zone : this->zones())
-      Text += Zone + '\n' + this->zoneDigest(Zone) + '\n';
-    Digest = sha256Hex(Text).substr(0, 32);
-  }
-  return Digest;
-}
-
 } // namespace rr
--- a/src/features/membership/MemberTable.h
+++ b/src/features/membership/MemberTable.h
@@ -14,6 +14,8 @@
 /// GoneRetention, so that an old report does not bring them back.
 class MemberTable {
 public:
+  /// In place of the name of a zone: the whole fleet.
+  static inline const std::string AllZones;
   static constexpr Clock::duration GoneRetention = std::chrono::hours(1);
 
   /// \p Self is the member that runs this process.
@@ -50,8 +52,11 @@
     return this->Entries;
   }
   /// Members, this one included, that proof B counts; sorted by name.
-  std::vector<const MemberEntry *> counted() const;
-  std::vector<const MemberEntry *> countedIn(const std::string &Zone) const;
+  const std::vector<const MemberEntry *> &counted() const {
+    return this->countedIn(AllZones);
+  }
+  const std::vector<const MemberEntry *> &
+  countedIn(const std::string &Zone) const;
   std::vector<std::string> zones() const;
   /// Live: in state Live and heard of within SilentAfter.
   bool isLive(const MemberEntry &Entry, Clock::time_point Now) const;
@@ -63,8 +68,8 @@
 
   /// Digest over names and incarnations of the counted members of a zone.
   const std::string &zoneDigest(const std::string &Zone) const;
-  /// The same over all zones.
-  const std::string &listDigest() const;
+  /// The same over the whole fleet.
+  const std::string &listDigest() const { return this->zoneDigest(AllZones); }
   /// Rises with each change.
   std::uint64_t revision() const { return this->Revision; }
 
@@ -76,7 +81,10 @@
   std::uint64_t SelfIncarnation;
   std::map<std::string, MemberEntry> Entries;
   std::uint64_t Revision = 0;
+  /// Rebuilt after a change of the records; a relay of 1,300 members asks for
+  /// them hundreds of times a second.
   mutable std::map<std::string, std::string> Digests;
+  mutable std::map<std::string, std::vector<const MemberEntry *>> ByZone;
 };
 
 } // namespace rr
--- a/src/features/membership/MembershipJson.cpp
+++ b/src/features/membership/MembershipJson.cpp
@@ -97,7 +97,7 @@
 
 ZoneStatus readZoneStatus(MessageReader &Reader) {
   ZoneStatus Result;
-  Result.Zone = Reader.name("zone");
+  Result.Zone = Reader.text("zone");
   Result.MemberDigest = Reader.text("members", DigestBytes);
   Result.OldestAge = Reader.age("oldest_ms");
   MessageReader Versions = Reader.object("acknowledged");
@@ -140,7 +140,9 @@
   json Zones = json::array();
   for (const ZoneStatus &Zone : Message.Zones)
     Zones.push_back(encode(Zone));
-  return {{"header", encode(Message.Header)}, {"zones", std::move(Zones)}};
+  return {{"header", encode(Message.Header)},
+          {"zones", std::move(Zones)},
+          {"headroom", Message.Headroom}};
 }
 
 Member readMember(MessageReader &Reader) {
@@ -195,6 +197,10 @@
   Result.Header = readHeader(Header);
   Result.Zones =
       Reader.list<ZoneStatus>("zones", Summary::MostZones, readZoneStatus);
+  MessageReader Headroom = Reader.object("headroom");
+  for (const std::string &Zone : Headroom.keys(Summary::MostZones))
+    Result.Headroom[Zone] =
+        Headroom.numbers(Zone.c_str(), LoadReport::MostItems);
   if (!Reader.isGood())
     return failure(Errc::Malformed);
   return Result;
--- a/src/features/membership/MessageGap.h
+++ b/src/features/membership/MessageGap.h
@@ -1,9 +1,6 @@
 #ifndef REDWINGRACK_MEMBERSHIP_MESSAGEGAP_H
 #define REDWINGRACK_MEMBERSHIP_MESSAGEGAP_H
 
-#include <string>
-#include <vector>
-
 namespace rr {
 
 /// What a received message refers to that is missing here. The receiver
@@ -11,8 +8,8 @@
 struct MessageGap {
   /// Control state or pending withdrawals.
   bool State = false;
-  /// Zones whose members differ.
-  std::vector<std::string> Zones;
+  /// The members differ.
+  bool Members = false;
 };
 
 } // namespace rr
--- a/src/features/membership/MessageReader.cpp
+++ b/src/features/membership/MessageReader.cpp
@@ -32,6 +32,23 @@
   return this->Object->is_object() && this->Object->contains(Key);
 }
 
+std::vector<std::string> MessageReader::keys(std::size_t Most) {
+  std::vector<std::string> Result;
+  if (!this->Object->is_object() || this->Object->size() > Most) {
+    this->fail();
+    return Result;
+  }
+  for (const auto &Item : this->Object->items()) {
+    // The other functions take keys as C strings.
+    if (Item.key().size() > MostNameBytes ||
+        Item.key().find('\0') != std::string::npos)
+      this->fail();
+    else
+      Result.push_back(Item.key());
+  }
+  return Result;
+}
+
 const json *MessageReader::member(const char *Key) {
   if (this->has(Key))
     return &*this->Object->find(Key);
--- a/src/features/membership/MessageReader.h
+++ b/src/features/membership/MessageReader.h
@@ -36,6 +36,8 @@
   /// A member that is an object; an empty one on failure.
   MessageReader object(const char *Key);
   bool has(const char *Key) const;
+  /// Names of all members, at most \p Most.
+  std::vector<std::string> keys(std::size_t Most);
 
   /// Reads each object of a list of at most \p Most.
   template <typename T>
--- a/src/features/membership/PeerExchange.cpp
+++ b/src/features/membership/PeerExchange.cpp
@@ -59,8 +59,12 @@
                                        Clock::time_point Now) {
   Summary Result;
   Result.Header = this->makeHeader(To, Now);
-  for (const std::string &Zone : this->Members.zones())
-    Result.Zones.push_back(this->makeZoneStatus(Zone, Now));
+  Result.Zones.push_back(this->makeZoneStatus(MemberTable::AllZones, Now));
+  for (const std::string &Zone : this->Members.zones()) {
+    auto Headroom = this->loadOf(Zone, Now).Headroom;
+    if (!Headroom.empty())
+      Result.Headroom[Zone] = std::move(Headroom);
+  }
   return Result;
 }
 
@@ -86,9 +90,10 @@
     All.push_back(std::move(Item));
   }
   // The oldest ones come first, so that they are named when there are many.
-  std::stable_sort(
-      All.begin(), All.end(),
-      [](const auto &Left, const auto &Right) { return Left.Age > Right.Age; });
+  std::sort(All.begin(), All.end(), [](const auto &Left, const auto &Right) {
+    return Left.Age > Right.Age ||
+           (Left.Age == Right.Age && Left.Name < Right.Name);
+  });
   bool AnyPlain = false;
   for (ZoneStatus::Exception &Item : All) {
     const bool IsException = Item.Age > SilentAfter ||
@@ -121,14 +126,14 @@
   MessageGap Result = this->take(Message.Header, Message.Zones, Now);
   for (const ZoneStatus &Zone : Message.Zones) {
     if (Zone.MemberDigest != this->Members.zoneDigest(Zone.Zone))
-      Result.Zones.push_back(Zone.Zone);
-    if (Zone.Zone != this->Members.self().Zone || !this->Members.isRelay(Now)) {
-      const Clock::time_point At = Now - Zone.OldestAge;
-      TimedLoad &Known = this->ZoneLoads[Zone.Zone];
-      if (Known.At <= At)
-        Known = {At, Zone.Load};
-    }
+      Result.Members = true;
+    if (Zone.Zone != MemberTable::AllZones)
+      this->ZoneLoads[Zone.Zone] = {Now, Zone.Load};
   }
+  if (this->Members.isRelay(Now))
+    return Result;
+  for (const auto &[Zone, Headroom] : Message.Headroom)
+    this->ZoneLoads[Zone] = {Now, {{}, Headroom}};
   return Result;
 }
 
@@ -179,8 +184,10 @@
   for (const std::string &Zone : this->Members.zones()) {
     if (Zone == this->Members.self().Zone)
       continue;
-    const auto Relays = this->Members.relays(Zone, Now);
-    Result.insert(Result.end(), Relays.begin(), Relays.end());
+    // The answer carries the other direction, so one of the two calls.
+    for (const std::string &Relay : this->Members.relays(Zone, Now))
+      if (this->Members.self().Name < Relay)
+        Result.push_back(Relay);
   }
   return Result;
 }
--- a/src/features/membership/PeerExchange.h
+++ b/src/features/membership/PeerExchange.h
@@ -32,7 +32,8 @@
 
   /// Peers that are due a message each period().
   std::vector<std::string> heartbeatTargets(Clock::time_point Now) const;
-  /// Relays of the other zones; empty when this instance is not a relay.
+  /// Relays of the other zones that this one calls; empty when this instance
+  /// is not a relay.
   std::vector<std::string> zoneSummaryTargets(Clock::time_point Now) const;
   /// Interval of messages: shorter while the store gives no proof.
   Clock::duration period(Clock::time_point Now) const;
--- a/src/features/membership/ZoneStatus.h
+++ b/src/features/membership/ZoneStatus.h
@@ -10,11 +10,13 @@
 
 namespace rr {
 
-/// One zone in a summary. Members that are all right share one age and one
-/// set of versions; only the others are named, so that the size depends on
-/// the number of zones and not of members.
+/// One zone, or the whole fleet, in a summary. Members that are all right share
+/// one age and one set of versions; only the others are named, so that the size
+/// depends on the number of zones and not of members.
 struct ZoneStatus {
-  static constexpr std::size_t MostExceptions = 32;
+  /// More than the members of a region, so that its failure does not raise
+  /// the common age.
+  static constexpr std::size_t MostExceptions = 256;
 
   struct Exception {
     std::string Name;
@@ -23,6 +25,7 @@
     bool Synchronised = false;
   };
 
+  /// MemberTable::AllZones for the whole fleet.
   std::string Zone;
   /// MemberTable::zoneDigest() of the sender; the ages and versions hold for
   /// a receiver with the same members only.
