Spread member news in both directions; make the model search deeper

Cause: a member declared lost in one zone stayed counted in the others, because only summaries of the own zone passed between zones; a leaving state spread only along the own relays. Conclusion: partitions that meet agree on members too.

--- a/src/features/configuration/tst_Configuration.cpp
+++ b/src/features/configuration/tst_Configuration.cpp
@@ -102,6 +102,26 @@
   CHECK(Written->Versions == ControlVersions{1, 7, 0});
 }
 
+// Guards against a writer that puts back the parts it does not change: a key
+// set version that goes down would hide a withdrawal.
+TEST_CASE("Replacing the head is conditional on the version that was read") {
+  TestLoop Loop;
+  FakePlatform Store;
+  Outcome<void> Late;
+  const Platform Calls = Store.platform();
+  Loop.spawn([&]() -> asio::awaitable<void> {
+    const auto View = co_await readHead(Calls);
+    ControlHead Head;
+    Head.Versions.Keys = 1;
+    Store.put("control/head", formatControlHead(Head));
+    Transaction Writes;
+    Writes.Writes.push_back(replaceHead(*View, View->Head));
+    Late = co_await Calls.Commit(Writes);
+  });
+  REQUIRE_FALSE(Late);
+  CHECK(Late.error() == Errc::Conflict);
+}
+
 // Guards against changes that are accepted without the store.
 TEST_CASE("With the store down a change is refused without effect") {
   TestLoop Loop;
--- a/src/features/keys/SimFleet.cpp
+++ b/src/features/keys/SimFleet.cpp
@@ -3,7 +3,7 @@
 #include "base/Timer.h"
 #include "configuration/ConfigProposal.h"
 #include "keys/KeyRows.h"
-#include "model/FleetConfigJson.h"
+#include "platform/PlatformCalls.h"
 
 #include <algorithm>
 
@@ -20,6 +20,7 @@
 
 SimFleet::SimFleet(std::size_t Count, std::size_t Keys)
     : Instances(Count), ConfigSeen(Count) {
+  seedRetryJitter(1);
   this->Loop.spawn([&]() -> asio::awaitable<void> {
     const Platform Calls = this->Store.platform();
     for (std::size_t I = 0; I < Keys; ++I) {
--- a/src/features/keys/tst_ControlModel.cpp
+++ b/src/features/keys/tst_ControlModel.cpp
@@ -18,7 +18,7 @@
     setenv("RC_PARAMS", "seed=20261204 max_success=150 max_size=60", 0);
 
 constexpr std::size_t Instances = 6;
-constexpr std::size_t Keys = 8;
+constexpr std::size_t Keys = 24;
 
 enum class Action {
   Advance,
@@ -33,6 +33,10 @@
   End,
   SilenceHost,
   ChangeConfig,
+  /// One instance loses its peers and the store.
+  Isolate,
+  /// Everything works again, with time to recover.
+  Repair,
 };
 
 struct Step {
@@ -47,20 +51,22 @@
 }
 
 rc::Gen<Step> anyStep() {
-  // Time has to pass between most of the other steps.
-  const auto What =
-      rc::gen::weightedElement<Action>({{12, Action::Advance},
-                                        {6, Action::Withdraw},
-                                        {3, Action::ToggleStore},
-                                        {3, Action::CutStore},
-                                        {3, Action::Split},
-                                        {2, Action::Heal},
-                                        {3, Action::Pause},
-                                        {3, Action::Resume},
-                                        {3, Action::Restart},
-                                        {2, Action::End},
-                                        {1, Action::SilenceHost},
-                                        {2, Action::ChangeConfig}});
+  // Time has to pass between most of the other steps, and faults have to end
+  // again: a fleet that is mostly broken accepts no withdrawal.
+  const auto What = rc::gen::weightedElement<Action>({{14, Action::Advance},
+                                                      {8, Action::Withdraw},
+                                                      {2, Action::ToggleStore},
+                                                      {2, Action::CutStore},
+                                                      {2, Action::Split},
+                                                      {2, Action::Heal},
+                                                      {3, Action::Pause},
+                                                      {3, Action::Resume},
+                                                      {2, Action::Restart},
+                                                      {1, Action::End},
+                                                      {1, Action::SilenceHost},
+                                                      {2, Action::ChangeConfig},
+                                                      {3, Action::Isolate},
+                                                      {4, Action::Repair}});
   return rc::gen::build<Step>(
       rc::gen::set(&Step::What, What),
       rc::gen::set(&Step::Index, rc::gen::inRange<std::size_t>(0, Instances)),
@@ -76,11 +82,25 @@
   });
 }
 
+void repairAll(SimFleet &Fleet) {
+  Fleet.Store.Down = false;
+  Fleet.Store.LoseAnswers = 0;
+  for (std::size_t I = 0; I < Instances; ++I) {
+    SimFleet::Instance &Item = Fleet.Instances[I];
+    Item.Group = 0;
+    Item.StoreCut = false;
+    if (Item.State == Process::Paused)
+      Item.State = Process::Running;
+    else if (Item.State != Process::Running)
+      Fleet.start(I);
+  }
+}
+
 void apply(SimFleet &Fleet, const Step &Item) {
   SimFleet::Instance &Target = Fleet.Instances[Item.Index];
   switch (Item.What) {
   case Action::Advance:
-    Fleet.advance(100ms * (1 + Item.Amount));
+    Fleet.advance(100ms * (1 + Item.Amount / 2));
     break;
   case Action::Withdraw:
     // The last key is never withdrawn; it shows that traffic comes back.
@@ -107,8 +127,9 @@
       Target.State = Process::Paused;
     break;
   case Action::Resume:
-    if (Target.State == Process::Paused)
-      Target.State = Process::Running;
+    for (SimFleet::Instance &Other : Fleet.Instances)
+      if (Other.State == Process::Paused)
+        Other.State = Process::Running;
     break;
   case Action::Restart:
     Fleet.start(Item.Index);
@@ -119,6 +140,14 @@
   case Action::SilenceHost:
     Fleet.end(Item.Index, true);
     break;
+  case Action::Isolate:
+    Target.Group = 2 + static_cast<int>(Item.Index);
+    Target.StoreCut = true;
+    break;
+  case Action::Repair:
+    repairAll(Fleet);
+    Fleet.advance(3s);
+    break;
   case Action::ChangeConfig:
     if (Target.State == Process::Running)
       changeConfig(Fleet, Target);
@@ -126,20 +155,6 @@
   }
 }
 
-void repairAll(SimFleet &Fleet) {
-  Fleet.Store.Down = false;
-  Fleet.Store.LoseAnswers = 0;
-  for (std::size_t I = 0; I < Instances; ++I) {
-    SimFleet::Instance &Item = Fleet.Instances[I];
-    Item.Group = 0;
-    Item.StoreCut = false;
-    if (Item.State == Process::Paused)
-      Item.State = Process::Running;
-    else if (Item.State != Process::Running)
-      Fleet.start(I);
-  }
-}
-
 } // namespace
 
 // Guards against every way in which an instance could serve a withdrawn key
--- a/src/features/membership/MemberTable.cpp
+++ b/src/features/membership/MemberTable.cpp
@@ -202,7 +202,8 @@
     std::string Text;
     for (const MemberEntry *Entry : this->countedIn(Zone))
       Text += Entry->Record.Name + '\n' +
-              std::to_string(Entry->Record.Incarnation) + '\n';
+              std::to_string(Entry->Record.Incarnation) +
+              (Entry->Record.State == MemberState::Live ? "\n" : " leaving\n");
     Digest = sha256Hex(Text).substr(0, 32);
   }
   return Digest;
--- a/src/features/membership/MemberTable.h
+++ b/src/features/membership/MemberTable.h
@@ -66,7 +66,8 @@
                                   Clock::time_point Now) const;
   bool isRelay(Clock::time_point Now) const;
 
-  /// Digest over names and incarnations of the counted members of a zone.
+  /// Digest over names, incarnations and states of the counted members of a
+  /// zone.
   const std::string &zoneDigest(const std::string &Zone) const;
   /// The same over the whole fleet.
   const std::string &listDigest() const { return this->zoneDigest(AllZones); }
--- a/src/features/membership/MembershipJson.cpp
+++ b/src/features/membership/MembershipJson.cpp
@@ -29,7 +29,8 @@
   json Result = {
       {"from", encode(Item.From)},   {"number", Item.Number},
       {"echo", Item.Echo},           {"echo_incarnation", Item.EchoIncarnation},
-      {"stamp", encode(Item.Stamp)}, {"synchronised", Item.Synchronised}};
+      {"stamp", encode(Item.Stamp)}, {"synchronised", Item.Synchronised},
+      {"members", Item.ListDigest}};
   if (Item.Read)
     Result["read"] = {{"age_ms", encodeAge(Item.Read->Age)},
                       {"seen", encode(Item.Read->Seen)}};
@@ -46,6 +47,7 @@
   MessageReader Stamp = Reader.object("stamp");
   Result.Stamp = readControlStamp(Stamp);
   Result.Synchronised = Reader.flag("synchronised");
+  Result.ListDigest = Reader.text("members", DigestBytes);
   if (Reader.has("read")) {
     MessageReader Read = Reader.object("read");
     MessageReader Seen = Read.object("seen");
--- a/src/features/membership/PeerExchange.cpp
+++ b/src/features/membership/PeerExchange.cpp
@@ -38,6 +38,7 @@
   Result.EchoIncarnation = Target.Incarnation;
   Result.Stamp = this->Freshness.held();
   Result.Synchronised = this->Freshness.isSynchronised();
+  Result.ListDigest = this->Members.listDigest();
   Result.Read = this->Freshness.readFor(Now);
   return Result;
 }
@@ -124,12 +125,9 @@
 MessageGap PeerExchange::receive(const Summary &Message,
                                  Clock::time_point Now) {
   MessageGap Result = this->take(Message.Header, Message.Zones, Now);
-  for (const ZoneStatus &Zone : Message.Zones) {
-    if (Zone.MemberDigest != this->Members.zoneDigest(Zone.Zone))
-      Result.Members = true;
+  for (const ZoneStatus &Zone : Message.Zones)
     if (Zone.Zone != MemberTable::AllZones)
       this->ZoneLoads[Zone.Zone] = {Now, Zone.Load};
-  }
   if (this->Members.isRelay(Now))
     return Result;
   for (const auto &[Zone, Headroom] : Message.Headroom)
@@ -154,6 +152,7 @@
   Link &Source = this->linkTo(Header.From.Name);
   Source.Timing.received(Header.Number);
   Result.State = !this->Freshness.covers(Header.Stamp);
+  Result.Members = Header.ListDigest != this->Members.listDigest();
   if (Header.EchoIncarnation != this->Members.self().Incarnation)
     return Result;
   const auto SentAt = Source.Timing.sentAfter(Header.Echo);
--- a/src/features/membership/PeerHeader.h
+++ b/src/features/membership/PeerHeader.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace rr {
 
@@ -22,6 +23,9 @@
   /// All that the sender has accepted.
   ControlStamp Stamp;
   bool Synchronised = false;
+  /// MemberTable::listDigest() of the sender. Whoever has another one fetches,
+  /// so that news of any member spreads in both directions.
+  std::string ListDigest;
   std::optional<HeadRead> Read;
 };
 
--- a/src/features/membership/tst_FreshnessTracker.cpp
+++ b/src/features/membership/tst_FreshnessTracker.cpp
@@ -49,17 +49,18 @@
 TEST_CASE("Proof A counts from the start of the read, with the state here") {
   Node Own("a");
   Own.Members.merge(makeMember("b"));
-  Own.Freshness.noteRead(Start, {1, 2, 3});
+  Own.Freshness.noteRead(Start, {});
+  // The store may lack withdrawals that are in force without it.
   CHECK_FALSE(Own.Freshness.isFresh(Start));
   Own.Freshness.noteSynchronised();
-  CHECK_FALSE(Own.Freshness.isFresh(Start));
-  Own.Freshness.setHeld({{1, 1, 3}, ""});
-  CHECK_FALSE(Own.Freshness.isFresh(Start));
-  Own.Freshness.setHeld({{1, 2, 3}, ""});
+  CHECK(Own.Freshness.isFresh(Start));
+  Own.Freshness.noteRead(Start + 1s, {1, 2, 3});
   CHECK(Own.Freshness.validUntil() == Start + FreshnessLimit);
   // A later read of newer state does not end the proof by the former one.
-  Own.Freshness.noteRead(Start + 1s, {1, 3, 3});
+  Own.Freshness.setHeld({{1, 1, 3}, ""});
   CHECK(Own.Freshness.validUntil() == Start + FreshnessLimit);
+  Own.Freshness.setHeld({{1, 2, 3}, ""});
+  CHECK(Own.Freshness.validUntil() == Start + 1s + FreshnessLimit);
 }
 
 // Guards against a proof by the members although one of them is silent.
--- a/src/libs/platform/PlatformCalls.cpp
+++ b/src/libs/platform/PlatformCalls.cpp
@@ -14,12 +14,16 @@
 constexpr std::chrono::milliseconds FirstRetryDelay{50};
 constexpr std::size_t PageSize = 500;
 
-asio::awaitable<void> waitBeforeRetry(int Attempt) {
+RandomEngine &jitterEngine() {
   static RandomEngine Engine(randomSeed());
+  return Engine;
+}
+
+asio::awaitable<void> waitBeforeRetry(int Attempt) {
   const auto Most = FirstRetryDelay * (1 << Attempt);
   std::uniform_int_distribution<std::int64_t> Jitter(Most.count() / 2,
                                                      Most.count());
-  co_await sleepFor(std::chrono::milliseconds(Jitter(Engine)));
+  co_await sleepFor(std::chrono::milliseconds(Jitter(jitterEngine())));
 }
 
 bool mayRepeat(const std::error_code &Error) {
@@ -53,6 +57,8 @@
 
 } // namespace
 
+void seedRetryJitter(std::uint64_t Seed) { jitterEngine().seed(Seed); }
+
 asio::awaitable<Outcome<std::optional<Row>>> readRow(const Platform &Store,
                                                      std::string Key) {
   for (int Attempt = 0;; ++Attempt) {
--- a/src/libs/platform/PlatformCalls.h
+++ b/src/libs/platform/PlatformCalls.h
@@ -9,6 +9,9 @@
 
 namespace rr {
 
+/// Makes the delays between attempts repeatable. For tests.
+void seedRetryJitter(std::uint64_t Seed);
+
 /// Reads a row; repeats a failed call a bounded number of times with jitter.
 asio::awaitable<Outcome<std::optional<Row>>> readRow(const Platform &Store,
                                                      std::string Key);
