--- a/src/features/keys/SimFleet.cpp
+++ b/src/features/keys/SimFleet.cpp
@@ -18,8 +18,8 @@
 
 } // namespace
 
-SimFleet::SimFleet(std::size_t Count, std::size_t Keys)
-    : Instances(Count), ConfigSeen(Count) {
+SimFleet::SimFleet(std::size_t Count, std::size_t Keys, std::size_t PerZone)
+    : Instances(Count), ConfigSeen(Count), PerZone(PerZone) {
   seedRetryJitter(1);
   this->Loop.spawn([&]() -> asio::awaitable<void> {
     const Platform Calls = this->Store.platform();
@@ -53,7 +53,7 @@
   Item.State = Process::Running;
   Member Self;
   Self.Name = this->nameOf(Index);
-  Self.Zone = "z" + std::to_string(Index / 2);
+  Self.Zone = "z" + std::to_string(Index / this->PerZone);
   Self.Incarnation = Incarnation;
   // The platform's list has all instances, with no incarnation.
   this->Store.Instances[Self.Name] = {Self.Name, Self.Zone, {}, {}, false};
--- a/src/features/keys/SimFleet.h
+++ b/src/features/keys/SimFleet.h
@@ -12,7 +12,7 @@
 
 namespace rr {
 
-/// Several instances, two per zone, with a network and a store that fail on
+/// Several instances in zones, with a network and a store that fail on
 /// demand. For tests only.
 class SimFleet {
 public:
@@ -36,7 +36,7 @@
   };
 
   /// Stores \p Keys keys and starts \p Count instances.
-  SimFleet(std::size_t Count, std::size_t Keys);
+  SimFleet(std::size_t Count, std::size_t Keys, std::size_t PerZone = 2);
 
   void start(std::size_t Index);
   void end(std::size_t Index, bool HostSilent = false);
@@ -66,6 +66,7 @@
   std::vector<std::uint64_t> ConfigSeen;
 
 private:
+  std::size_t PerZone;
   asio::awaitable<Outcome<nlohmann::json>>
   deliver(std::size_t From, std::uint64_t Incarnation, std::string To,
           std::string Method, nlohmann::json Payload);
--- a/src/features/keys/tst_ControlNode.cpp
+++ b/src/features/keys/tst_ControlNode.cpp
@@ -22,10 +22,10 @@
 
 // Guards against proof B that lapses between two rounds of messages.
 TEST_CASE("A store outage alone does not stop keyed traffic") {
-  SimFleet Fleet(6, 3);
-  // Far regions, and rounds of messages that do not coincide.
-  Fleet.Latency = 20ms;
-  for (std::size_t I = 0; I < 6; ++I) {
+  // Members behind relays, far regions, and rounds that do not coincide.
+  SimFleet Fleet(8, 3, 4);
+  Fleet.Latency = 35ms;
+  for (std::size_t I = 0; I < 8; ++I) {
     Fleet.start(I);
     Fleet.advance(350ms);
   }
