Check accepted withdrawals without exemption in the fleet model

Cause: the model left out withdrawals that no running process holds, although no trace had shown that case.

--- a/src/features/keys/SimFleet.cpp
+++ b/src/features/keys/SimFleet.cpp
@@ -148,13 +148,6 @@
   return true;
 }
 
-bool SimFleet::hasHolder(const KeyHash &Hash) const {
-  return std::any_of(this->Instances.begin(), this->Instances.end(),
-                     [&](const Instance &Item) {
-                       return Item.Node && Item.Node->keys().isWithdrawn(Hash);
-                     });
-}
-
 void SimFleet::check() {
   for (Withdrawal &Item : this->Withdrawals) {
     if (!Item.AcceptedAt && this->Instances[Item.TakenBy].Node) {
@@ -163,9 +156,7 @@
       if (Report && Report->isAccepted())
         Item.AcceptedAt = Clock::now();
     }
-    // A withdrawal that no running process holds and that the store cannot
-    // tell anybody is lost; docs/keys.md names this limit.
-    if (!Item.AcceptedAt || !this->hasHolder(Item.Hash))
+    if (!Item.AcceptedAt)
       continue;
     for (std::size_t I = 0; I < this->Instances.size(); ++I) {
       if (this->Instances[I].State != Process::Running ||
--- a/src/features/keys/SimFleet.h
+++ b/src/features/keys/SimFleet.h
@@ -72,7 +72,6 @@
           std::string Method, nlohmann::json Payload);
   asio::awaitable<void> waitWhilePaused(std::size_t Index);
   bool isSame(std::size_t Index, std::uint64_t Incarnation) const;
-  bool hasHolder(const KeyHash &Hash) const;
 
   /// Ended processes; their coroutines may still be waiting.
   std::vector<std::unique_ptr<ControlNode>> Ended;
