--- a/src/features/keys/SimFleet.cpp
+++ b/src/features/keys/SimFleet.cpp
@@ -18,8 +18,8 @@
 
 } // namespace
 
-SimFleet::SimFleet(std::size_t Count, std::size_t Keys)
-    : Instances(Count), ConfigSeen(Count) {
+SimFleet::SimFleet(std::size_t Count, std::size_t Keys, std::size_t PerZone)
+    : Instances(Count), ConfigSeen(Count), PerZone(PerZone) {
   seedRetryJitter(1);
   this->Loop.spawn([&]() -> asio::awaitable<void> {
     const Platform Calls = this->Store.platform();
@@ -53,7 +53,7 @@
   Item.State = Process::Running;
   Member Self;
   Self.Name = this->nameOf(Index);
-  Self.Zone = "z" + std::to_string(Index / 2);
+  Self.Zone = "z" + std::to_string(Index / this->PerZone);
   Self.Incarnation = Incarnation;
   // The platform's list has all instances, with no incarnation.
   this->Store.Instances[Self.Name] = {Self.Name, Self.Zone, {}, {}, false};
@@ -148,13 +148,6 @@
   return true;
 }
 
-bool SimFleet::hasHolder(const KeyHash &Hash) const {
-  return std::any_of(this->Instances.begin(), this->Instances.end(),
-                     [&](const Instance &Item) {
-                       return Item.Node && Item.Node->keys().isWithdrawn(Hash);
-                     });
-}
-
 void SimFleet::check() {
   for (Withdrawal &Item : this->Withdrawals) {
     if (!Item.AcceptedAt && this->Instances[Item.TakenBy].Node) {
@@ -163,9 +156,7 @@
       if (Report && Report->isAccepted())
         Item.AcceptedAt = Clock::now();
     }
-    // A withdrawal that no running process holds and that the store cannot
-    // tell anybody is lost; docs/keys.md names this limit.
-    if (!Item.AcceptedAt || !this->hasHolder(Item.Hash))
+    if (!Item.AcceptedAt)
       continue;
     for (std::size_t I = 0; I < this->Instances.size(); ++I) {
       if (this->Instances[I].State != Process::Running ||
