--- a/src/features/instance/tst_FaultMatrix.cpp
+++ b/src/features/instance/tst_FaultMatrix.cpp
@@ -107,9 +107,7 @@
   return !Fleet.carryOut("a1x", Intent).empty();
 }
 
-bool ran(InstanceFleet &Fleet, const char *Id) {
-  return Fleet.runsOf(Id) <= 1;
-}
+bool ran(InstanceFleet &Fleet, const char *Id) { return Fleet.runsOf(Id) <= 1; }
 
 const std::vector<Operation> Operations = {
     {"look-up",
@@ -122,10 +120,14 @@
      [](InstanceFleet &F) { return F.request("a1x", "/about").Status == 200; },
      [](InstanceFleet &) { return true; }},
     {"keyed request",
-     [](InstanceFleet &F) { return F.request("a1x", "/stock/1").Status == 200; },
+     [](InstanceFleet &F) {
+       return F.request("a1x", "/stock/1").Status == 200;
+     },
      [](InstanceFleet &) { return true; }},
     {"keyed request, far zone",
-     [](InstanceFleet &F) { return F.request("a2x", "/stock/1").Status == 200; },
+     [](InstanceFleet &F) {
+       return F.request("a2x", "/stock/1").Status == 200;
+     },
      [](InstanceFleet &) { return true; }},
     {"order",
      [](InstanceFleet &F) {
@@ -160,22 +162,21 @@
      sameConfig},
     {"drain",
      [](InstanceFleet &F) {
-       return planned(
-           F, intentText("drain_server", "\"server\":\"stock-1\""));
+       return planned(F, intentText("drain_server", "\"server\":\"stock-1\""));
      },
      sameConfig},
     {"issue key",
      [](InstanceFleet &F) {
-       return planned(F, intentText("issue_key",
-                                    "\"workspace\":\"v\",\"key_hash\":\"" +
-                                        sha256Hex("other") + "\""));
+       return planned(
+           F, intentText("issue_key", "\"workspace\":\"v\",\"key_hash\":\"" +
+                                          sha256Hex("other") + "\""));
      },
      [](InstanceFleet &) { return true; }},
     {"withdraw key",
      [](InstanceFleet &F) {
-       return planned(F, intentText("withdraw_key",
-                                    "\"key_hash\":\"" + sha256Hex(F.Key) +
-                                        "\""));
+       return planned(F,
+                      intentText("withdraw_key",
+                                 "\"key_hash\":\"" + sha256Hex(F.Key) + "\""));
      },
      [](InstanceFleet &) { return true; }},
     {"shift step",
