Start from seeds while the store is down

peers.seeds was read and never used, so that no instance could start during a store outage. A seed is now NAME@IP:PORT; it is linked and asked for the control state once a second until the instance is synchronised.

--- a/src/features/instance/Instance.cpp
+++ b/src/features/instance/Instance.cpp
@@ -65,6 +65,7 @@
   Result.PeerAddress = Options.AdvertisedPeerAddress;
   Result.Incarnation = incarnationNow();
   Result.RandomSeed = randomSeed();
+  Result.Seeds = Options.PeerSeeds;
   Result.LookupMaxAge = Options.LookupMaxAge;
   Result.StopGrace = Options.StopGrace;
   Result.LongestStop = Options.LongestStop;
--- a/src/features/instance/InstanceCore.cpp
+++ b/src/features/instance/InstanceCore.cpp
@@ -56,8 +56,8 @@
                                      std::move(Body));
           },
           this->Options.RandomSeed),
-      Links(this->State.Control, this->Network), Guard(holderOf(this->Options)),
-      Claims(this->Store),
+      Links(this->State.Control, this->Network, this->Options.Seeds),
+      Guard(holderOf(this->Options)), Claims(this->Store),
       Limits(this->State, this->Network, Executor, Counters),
       Reports(this->State, this->Network, this->Limits, Executor),
       Dispatch(this->State, this->Network, this->Servers, this->Links,
@@ -67,6 +67,10 @@
       Lookups(this->State, this->Options.LookupMaxAge),
       Operators(this->State, this->Work, Counters),
       Pipeline(this->requestServices(), Counters, Spans) {
+  std::vector<std::string> SeedNames;
+  for (const PeerSeed &Seed : this->Options.Seeds)
+    SeedNames.push_back(Seed.Name);
+  this->State.Control.setSeeds(std::move(SeedNames));
   this->State.Control.onShares(
       [this](std::uint64_t Epoch, std::string Peer) -> asio::awaitable<void> {
         if (Peer.empty()) {
--- a/src/features/instance/InstanceFleet.cpp
+++ b/src/features/instance/InstanceFleet.cpp
@@ -55,6 +55,7 @@
   Options.Incarnation = Item.Incarnation;
   Options.RandomSeed = Item.Incarnation;
   Options.StopGrace = std::chrono::seconds(10);
+  Options.Seeds = this->Seeds;
   Item.Counters = std::make_unique<Metrics>();
   Item.Core = std::make_unique<InstanceCore>(
       this->Loop.context().get_executor(), Options,
--- a/src/features/instance/InstanceFleet.h
+++ b/src/features/instance/InstanceFleet.h
@@ -76,6 +76,8 @@
   std::map<std::string, FakeServer> Servers;
   /// One way between instances.
   Clock::duration PeerLatency = std::chrono::milliseconds(1);
+  /// Seeds of the instances that are started from now on.
+  std::vector<PeerSeed> Seeds;
   std::string Key = "fleet-test-key";
   /// Texts of a key that a server has received.
   int KeysSeen = 0;
--- a/src/features/instance/InstanceOptions.h
+++ b/src/features/instance/InstanceOptions.h
@@ -2,6 +2,7 @@
 #define REDWINGRACK_INSTANCE_INSTANCEOPTIONS_H
 
 #include "base/Clock.h"
+#include "settings/PeerSeed.h"
 
 #include <cstdint>
 #include <string>
@@ -18,6 +19,7 @@
   /// Rises with each start of the process.
   std::uint64_t Incarnation = 1;
   std::uint64_t RandomSeed = 1;
+  std::vector<PeerSeed> Seeds;
   std::chrono::milliseconds LookupMaxAge{10000};
   std::chrono::milliseconds StopGrace{10000};
   std::chrono::milliseconds LongestStop{30000};
--- a/src/features/instance/LinkKeeper.cpp
+++ b/src/features/instance/LinkKeeper.cpp
@@ -15,14 +15,26 @@
 
 } // namespace
 
-LinkKeeper::LinkKeeper(ControlNode &Control, const PeerNetwork &Network)
-    : Control(Control), Network(Network) {}
+LinkKeeper::LinkKeeper(ControlNode &Control, const PeerNetwork &Network,
+                       const std::vector<PeerSeed> &Seeds)
+    : Control(Control), Network(Network) {
+  for (const PeerSeed &Seed : Seeds)
+    this->Seeds[Seed.Name] = Seed.Address;
+}
+
+void LinkKeeper::open(const std::string &Peer) {
+  const MemberEntry *Entry = this->Control.members().find(Peer);
+  const auto Seed = this->Seeds.find(Peer);
+  if (!Entry && Seed == this->Seeds.end())
+    return;
+  if (this->Linked.insert(Peer).second)
+    this->Network.Connect(Peer,
+                          Entry ? Entry->Record.PeerAddress : Seed->second);
+}
 
 void LinkKeeper::keep(const std::string &Peer) {
   this->InUse[Peer] = Clock::now() + UseTime;
-  const MemberEntry *Entry = this->Control.members().find(Peer);
-  if (Entry && this->Linked.insert(Peer).second)
-    this->Network.Connect(Peer, Entry->Record.PeerAddress);
+  this->open(Peer);
 }
 
 std::set<std::string> LinkKeeper::wanted(Clock::time_point Now) {
@@ -42,6 +54,9 @@
   for (const auto &[Peer, Until] : this->InUse)
     if (Now < Until)
       Result.insert(Peer);
+  if (!this->Control.isSynchronised())
+    for (const auto &[Name, Address] : this->Seeds)
+      Result.insert(Name);
   Result.erase(Members.self().Name);
   return Result;
 }
@@ -50,11 +65,8 @@
   while (!this->Stopping) {
     const Clock::time_point Now = Clock::now();
     const std::set<std::string> Wanted = this->wanted(Now);
-    for (const std::string &Peer : Wanted) {
-      const MemberEntry *Entry = this->Control.members().find(Peer);
-      if (Entry && this->Linked.insert(Peer).second)
-        this->Network.Connect(Peer, Entry->Record.PeerAddress);
-    }
+    for (const std::string &Peer : Wanted)
+      this->open(Peer);
     std::erase_if(this->Linked, [&](const std::string &Peer) {
       if (Wanted.count(Peer))
         return false;
--- a/src/features/keys/ControlNode.cpp
+++ b/src/features/keys/ControlNode.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t MostPushes = 32;
 constexpr Clock::duration PushPeriod = std::chrono::milliseconds(250);
 
+constexpr Clock::duration SeedPeriod = std::chrono::seconds(1);
+
 // Longer than any interval of messages.
 constexpr Clock::duration SendRetention = std::chrono::seconds(10);
 
@@ -55,9 +57,23 @@
   this->forgetOld(Now);
   this->startMessages(Now);
   this->startPushes(Now);
+  this->startSeeds(Now);
   this->startStoreRound(Now);
 }
 
+void ControlNode::setSeeds(std::vector<std::string> Names) {
+  this->Seeds = std::move(Names);
+}
+
+void ControlNode::startSeeds(Clock::time_point Now) {
+  if (this->Freshness.isSynchronised() || Now < this->NextSeedRound)
+    return;
+  this->NextSeedRound = Now + SeedPeriod;
+  for (const std::string &Seed : this->Seeds)
+    if (Seed != this->Members.self().Name)
+      this->fillLater(Seed, MessageGap());
+}
+
 void ControlNode::forgetOld(Clock::time_point Now) {
   std::erase_if(this->NextSend, [&](const auto &Item) {
     return Item.second + SendRetention < Now;
@@ -181,9 +197,12 @@
 
 asio::awaitable<void> ControlNode::fill(std::string Peer, MessageGap Gap) {
   const bool StartsUp = !this->Freshness.isSynchronised();
+  bool HasMembers = true;
   if (StartsUp || Gap.Members)
-    static_cast<void>(co_await this->fetchMembers(Peer));
-  if (StartsUp || Gap.State) {
+    HasMembers = (co_await this->fetchMembers(Peer)).has_value();
+  // Proof B counts the members that are known here, so the control state is
+  // synchronised only together with the member list.
+  if ((StartsUp && HasMembers) || (!StartsUp && Gap.State)) {
     static_cast<void>(co_await this->fetchConfig(Peer));
     if (this->Shares)
       co_await this->Shares(this->ShareEpoch, Peer);
--- a/src/features/keys/ControlNode.h
+++ b/src/features/keys/ControlNode.h
@@ -15,6 +15,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace rr {
 
@@ -53,6 +54,10 @@
   const ConfigStore &config() const { return this->Config; }
   MemberTable &members() { return this->Members; }
   PeerExchange &exchange() { return this->Exchange; }
+  bool isSynchronised() const { return this->Freshness.isSynchronised(); }
+  /// Peers that are asked for the control state once a second until it is
+  /// synchronised, so that an instance can start while the store is down.
+  void setSeeds(std::vector<std::string> Names);
   /// The share table that this instance has in force.
   void setShareEpoch(std::uint64_t Epoch);
   /// Registers how a newer share table is taken over: from the store when the
@@ -69,6 +74,7 @@
 private:
   void startMessages(Clock::time_point Now);
   void startPushes(Clock::time_point Now);
+  void startSeeds(Clock::time_point Now);
   void startStoreRound(Clock::time_point Now);
   void refreshHeld();
   void forgetOld(Clock::time_point Now);
@@ -98,6 +104,8 @@
   ConfigStore Config;
   std::uint64_t ShareEpoch = 0;
   FollowShares Shares;
+  std::vector<std::string> Seeds;
+  Clock::time_point NextSeedRound = Clock::time_point::min();
   bool StoreDown = false;
   bool Hinted = false;
   std::map<KeyHash, WithdrawalTracker> Withdrawals;
--- a/src/libs/settings/Settings.h
+++ b/src/libs/settings/Settings.h
@@ -2,6 +2,7 @@
 #define REDWINGRACK_SETTINGS_SETTINGS_H
 
 #include "settings/OperatorToken.h"
+#include "settings/PeerSeed.h"
 #include "settings/SocketAddress.h"
 
 #include <chrono>
@@ -27,8 +28,8 @@
   std::chrono::milliseconds PlatformTimeout{1000};
 
   std::string PeerSecret;
-  /// Peer addresses that are asked for the control state at the start.
-  std::vector<std::string> PeerSeeds;
+  /// Instances that are asked for the control state at the start.
+  std::vector<PeerSeed> PeerSeeds;
 
   std::uint64_t LargestRequestBody = 1U << 20;
   std::uint64_t LargestAnswerBody = 8U << 20;
--- a/src/libs/settings/SettingsFile.cpp
+++ b/src/libs/settings/SettingsFile.cpp
@@ -86,11 +86,15 @@
       Target.PeerSecret.size() < ShortestPeerSecret)
     Reader.problem("secret", "at least " + std::to_string(ShortestPeerSecret) +
                                  " characters");
-  Reader.texts("seeds", Target.PeerSeeds);
-  SocketAddress Ignored;
-  for (const std::string &Seed : Target.PeerSeeds)
-    if (!parseAddress(Seed, Ignored))
-      Reader.problem("seeds", "IP:PORT in each entry, not " + Seed);
+  std::vector<std::string> Seeds;
+  Reader.texts("seeds", Seeds);
+  for (const std::string &Text : Seeds) {
+    PeerSeed Seed;
+    if (parsePeerSeed(Text, Seed))
+      Target.PeerSeeds.push_back(Seed);
+    else
+      Reader.problem("seeds", "NAME@IP:PORT in each entry, not " + Text);
+  }
   Reader.refuseUnknown();
 }
 
--- a/src/libs/settings/tst_SettingsFile.cpp
+++ b/src/libs/settings/tst_SettingsFile.cpp
@@ -53,3 +53,26 @@
   CHECK_FALSE(parseSettings("a = [\n", "f.toml", Found));
   CHECK(Found.Lines.size() == 1);
 }
+
+// Guards against seeds without the name that the link's handshake checks.
+TEST_CASE("A seed is an instance name with its peer address") {
+  Diagnostics Found;
+  const std::string Seeds = R"(seeds = ["i2@127.0.0.2:8081", "i3@[::1]:81"])";
+  const auto Result = parseSettings(Good + Seeds, "f.toml", Found);
+  REQUIRE(Result);
+  REQUIRE(Result->PeerSeeds.size() == 2);
+  CHECK(Result->PeerSeeds[0].Name == "i2");
+  CHECK(Result->PeerSeeds[0].Address == "127.0.0.2:8081");
+  CHECK(Result->PeerSeeds[1].Address == "[::1]:81");
+  for (const char *Wrong : {"127.0.0.2:8081", "@127.0.0.2:8081", "i2@host:1"}) {
+    Diagnostics Problems;
+    const std::string Text =
+        Good + std::string("seeds = [\"") + Wrong + "\"]\n";
+    CHECK_FALSE(parseSettings(Text, "f.toml", Problems));
+    REQUIRE(Problems.Lines.size() == 1);
+    CHECK(Problems.Lines[0] ==
+          std::string("f.toml:12: peers.seeds: expected NAME@IP:PORT in each "
+                      "entry, not ") +
+              Wrong);
+  }
+}
