Declare an instance lost without the store

With the store down and a host silent, keyed traffic stops until an operator declares the instance lost, and that answered 503. The plan is now kept at the instance that proposed it, travels by the member exchange, and its row is written when the store is back.

--- a/src/features/instance/FleetWork.cpp
+++ b/src/features/instance/FleetWork.cpp
@@ -8,6 +8,7 @@
 #include "instance/SpillJson.h"
 #include "limits/LimitsJson.h"
 #include "logging/EventLog.h"
+#include "membership/MemberRows.h"
 #include "membership/Timing.h"
 #include "model/FleetConfig.h"
 #include "platform/PlatformCalls.h"
@@ -245,6 +246,25 @@
   co_return Done.has_value();
 }
 
+void FleetWork::declareLost(const std::string &Instance) {
+  if (!this->State.Control.members().declareLost(Instance))
+    return;
+  this->LostToRecord.insert(Instance);
+  this->OnControlChange();
+}
+
+asio::awaitable<void> FleetWork::recordLost() {
+  const std::set<std::string> Open = this->LostToRecord;
+  for (const std::string &Name : Open) {
+    const MemberEntry *Entry = this->State.Control.members().find(Name);
+    // A new process of that name supersedes the declaration.
+    const bool IsLost = Entry && Entry->Record.State == MemberState::Lost;
+    if (IsLost && !co_await writeMemberRow(this->Store, Entry->Record))
+      co_return;
+    this->LostToRecord.erase(Name);
+  }
+}
+
 asio::awaitable<void> FleetWork::divideShares() {
   const Clock::time_point Now = Clock::now();
   const auto Config = configOf(this->State);
@@ -268,6 +288,8 @@
   while (!this->Stopping) {
     const Clock::time_point Now = Clock::now();
     this->confirmShares(Now);
+    if (!this->State.Control.isStoreDown())
+      co_await this->recordLost();
     // Relays know the whole fleet, so that only they work for it.
     if (this->State.Control.members().isRelay(Now) && !this->State.Leaving)
       co_await this->Lease.step(this->Store);
--- a/src/features/instance/FleetWork.h
+++ b/src/features/instance/FleetWork.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 
 namespace rr {
 
@@ -34,6 +35,10 @@
   /// Takes over a share epoch from the store, or from a peer's answer.
   asio::awaitable<void> followShares(std::uint64_t Epoch);
 
+  /// Declares an instance lost without the store. The row is written when the
+  /// store is back.
+  void declareLost(const std::string &Instance);
+
   PlanStore &plans() { return this->Plans; }
   const PlanServices &services() const { return this->Services; }
   bool holdsLease() const { return this->Lease.isHeld(Clock::now()); }
@@ -42,6 +47,7 @@
   PlanServices makeServices();
   asio::awaitable<BarrierReport> awaitBarrier(ControlMark Mark,
                                               Clock::duration AtMost);
+  asio::awaitable<void> recordLost();
   asio::awaitable<void> divideShares();
   asio::awaitable<bool> writeEpoch(ShareAllocation Next);
   void confirmShares(Clock::time_point Now);
@@ -65,6 +71,8 @@
   /// When a change was first asked about, for changes that an earlier lease
   /// holder has made.
   std::map<std::uint64_t, Clock::time_point> VisibleSince;
+  /// Declared lost here and not written to the store yet.
+  std::set<std::string> LostToRecord;
   std::uint64_t ConfirmedEpoch = 0;
   std::optional<Clock::time_point> AdoptedAt;
   bool WasHeld = false;
--- a/src/features/instance/OperatorService.cpp
+++ b/src/features/instance/OperatorService.cpp
@@ -174,18 +174,51 @@
   co_return AdminReply{200, Body.dump()};
 }
 
-asio::awaitable<AdminReply>
-OperatorService::proposeWithdrawal(std::string Operator, std::string Hash) {
+AdminReply OperatorService::proposeStoreless(Intent Wish) {
+  const auto *Loss = std::get_if<DeclareLost>(&Wish);
+  const MemberTable &Members = this->State.Control.members();
+  if (Loss && !Members.find(Loss->Instance))
+    return adminError(404, "not_found", "no instance of this name is known");
+  if (Loss && Loss->Instance == Members.self().Name)
+    return adminError(409, "conflict", "the instance answers this call");
+  json Changes = {"The key is withdrawn through the instances; the store is "
+                  "unavailable and gets the withdrawal later."};
+  json Caps = {"Only this instance knows this plan; confirm it here."};
+  if (Loss) {
+    Changes = {"Nobody waits for instance " + Loss->Instance +
+               " any more; the store is unavailable and gets this later."};
+    Caps.push_back("Only for a process that certainly no longer runs: the "
+                   "guarantee for withdrawn keys rests on it.");
+  }
   const std::string Id = StorelessPrefix + randomToken().substr(0, 12);
-  this->StorelessWithdrawals[Id] = Hash;
+  this->StorelessPlans[Id] = {std::move(Wish)};
   const json Body = {
-      {"id", Id},
-      {"state", "proposed"},
-      {"changes",
-       {"The key is withdrawn through the instances; the store is "
-        "unavailable and gets the withdrawal later."}},
-      {"caps", {"Only this instance knows this plan; confirm it here."}}};
-  co_return AdminReply{201, Body.dump()};
+      {"id", Id}, {"state", "proposed"}, {"changes", Changes}, {"caps", Caps}};
+  return {201, Body.dump()};
+}
+
+asio::awaitable<AdminReply>
+OperatorService::confirmStoreless(std::string Operator, std::string Plan) {
+  StorelessPlan &Current = this->StorelessPlans.at(Plan);
+  Current.Confirmed = true;
+  logEvent(Event::PlanConfirmed, {{"plan", Plan}, {"operator", Operator}});
+  if (const auto *Withdrawal = std::get_if<WithdrawKey>(&Current.Wish))
+    co_return co_await this->withdraw(Withdrawal->KeyHash);
+  this->Work.declareLost(std::get<DeclareLost>(Current.Wish).Instance);
+  co_return this->showStoreless(Plan);
+}
+
+AdminReply OperatorService::showStoreless(const std::string &Plan) {
+  const StorelessPlan &Current = this->StorelessPlans.at(Plan);
+  if (const auto *Withdrawal = std::get_if<WithdrawKey>(&Current.Wish))
+    return this->keyReport(Withdrawal->KeyHash);
+  const std::string &Instance = std::get<DeclareLost>(Current.Wish).Instance;
+  json Body = {{"id", Plan},
+               {"state", Current.Confirmed ? "finished" : "proposed"},
+               {"result", ""}};
+  if (Current.Confirmed)
+    Body["result"] = "Instance " + Instance + " is declared lost.";
+  return {200, Body.dump()};
 }
 
 asio::awaitable<AdminReply> OperatorService::propose(std::string Operator,
@@ -197,12 +230,13 @@
     co_return refusal(Wish.error(), Problems, std::nullopt);
   const PlanAnswer Answer =
       co_await this->Work.plans().propose(*Wish, Operator);
-  const auto *Withdrawal = std::get_if<WithdrawKey>(&*Wish);
+  const bool WorksWithoutStore = std::holds_alternative<WithdrawKey>(*Wish) ||
+                                 std::holds_alternative<DeclareLost>(*Wish);
   const bool NoStore = Answer.Error == Errc::Unavailable ||
                        Answer.Error == Errc::Unknown ||
                        Answer.Error == Errc::Timeout;
-  if (Withdrawal && NoStore)
-    co_return co_await this->proposeWithdrawal(Operator, Withdrawal->KeyHash);
+  if (WorksWithoutStore && NoStore)
+    co_return this->proposeStoreless(*Wish);
   if (!Answer.Error)
     logEvent(Event::PlanProposed,
              {{"plan", Answer.Current->Id}, {"operator", Operator}});
@@ -211,9 +245,8 @@
 
 asio::awaitable<AdminReply> OperatorService::confirm(std::string Operator,
                                                      std::string Plan) {
-  const auto Storeless = this->StorelessWithdrawals.find(Plan);
-  if (Storeless != this->StorelessWithdrawals.end())
-    co_return co_await this->withdraw(Storeless->second);
+  if (this->StorelessPlans.contains(Plan))
+    co_return co_await this->confirmStoreless(Operator, Plan);
   const PlanAnswer Answer = co_await this->Work.plans().confirm(Plan, Operator);
   if (Answer.Error)
     co_return replyOf(Answer, 200);
@@ -234,9 +267,8 @@
 }
 
 asio::awaitable<AdminReply> OperatorService::show(std::string Plan) {
-  const auto Storeless = this->StorelessWithdrawals.find(Plan);
-  if (Storeless != this->StorelessWithdrawals.end())
-    co_return this->keyReport(Storeless->second);
+  if (this->StorelessPlans.contains(Plan))
+    co_return this->showStoreless(Plan);
   const auto Found = co_await this->Work.plans().read(Plan);
   if (!Found)
     co_return refusal(Found.error(), {}, std::nullopt);
--- a/src/features/instance/OperatorService.h
+++ b/src/features/instance/OperatorService.h
@@ -2,6 +2,7 @@
 #define REDWINGRACK_INSTANCE_OPERATORSERVICE_H
 
 #include "admin/AdminServices.h"
+#include "plans/Intent.h"
 #include "plans/PlanAnswer.h"
 
 #include <map>
@@ -29,15 +30,23 @@
   asio::awaitable<AdminReply> show(std::string Plan);
   asio::awaitable<AdminReply> list();
   asio::awaitable<AdminReply> audit();
-  asio::awaitable<AdminReply> proposeWithdrawal(std::string Operator,
-                                                std::string Hash);
+  /// Answers with a plan that this instance alone keeps.
+  AdminReply proposeStoreless(Intent Wish);
+  asio::awaitable<AdminReply> confirmStoreless(std::string Operator,
+                                               std::string Plan);
+  AdminReply showStoreless(const std::string &Plan);
   asio::awaitable<AdminReply> withdraw(std::string Hash);
 
   InstanceState &State;
   FleetWork &Work;
   Metrics &Counters;
-  /// Withdrawals that were proposed while the store was down, by plan.
-  std::map<std::string, std::string> StorelessWithdrawals;
+  /// Key withdrawals and losses of instances that were proposed while the
+  /// store was down.
+  struct StorelessPlan {
+    Intent Wish;
+    bool Confirmed = false;
+  };
+  std::map<std::string, StorelessPlan> StorelessPlans;
 };
 
 } // namespace rr
--- a/src/features/instance/tst_Repairs.cpp
+++ b/src/features/instance/tst_Repairs.cpp
@@ -6,6 +6,20 @@
 
 using namespace rr;
 using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+json bodyOf(const AdminReply &Reply) {
+  return json::parse(Reply.Body, nullptr, false);
+}
+
+const MemberEntry *memberAt(InstanceFleet &Fleet, const std::string &Instance,
+                            const std::string &Member) {
+  return Fleet.core(Instance).state().Control.members().find(Member);
+}
+
+} // namespace
 
 // Guards against a restarted instance that waits for the store although its
 // peers have the control state.
@@ -46,3 +60,44 @@
   CHECK(Response.Status == 200);
   CHECK(Fleet.request("b1x", "/stock/1").Status == 200);
 }
+
+// Guards against a way out of a silent host that needs the store itself.
+TEST_CASE("A silent instance is declared lost while the store is down") {
+  InstanceFleet Fleet;
+  Fleet.bringUp();
+  Fleet.Store.Down = true;
+  Fleet.advance(5s);
+  Fleet.kill("a2x", true);
+  Fleet.advance(10s);
+  REQUIRE(Fleet.request("a1x", "/stock/1").Status == 503);
+  const auto Proposed =
+      Fleet.propose("a1x", intentText("declare_lost", "\"instance\":\"a2x\""));
+  INFO(Proposed.Body);
+  REQUIRE(Proposed.Status == 201);
+  const auto Id = bodyOf(Proposed).value("id", "");
+  CHECK(Fleet.stateOf("a1x", Id) == "proposed");
+  CHECK(memberAt(Fleet, "a1x", "a2x")->Record.State == MemberState::Live);
+  REQUIRE(Fleet.confirm("a1x", Id).Status == 200);
+  CHECK(Fleet.stateOf("a1x", Id) == "finished");
+  Fleet.advance(5s);
+  for (const char *Name : {"a1x", "a1y", "b1x"}) {
+    INFO(Name);
+    CHECK(memberAt(Fleet, Name, "a2x")->Record.State == MemberState::Lost);
+    CHECK(Fleet.request(Name, "/stock/1").Status == 200);
+  }
+  Fleet.Store.Down = false;
+  Fleet.advance(10s);
+  CHECK(Fleet.Store.Rows.at("members/a2x").Value.find("\"lost\"") !=
+        std::string::npos);
+}
+
+// Guards against a plan for an instance that nobody knows.
+TEST_CASE("An unknown instance is not declared lost without the store") {
+  InstanceFleet Fleet;
+  Fleet.bringUp();
+  Fleet.Store.Down = true;
+  Fleet.advance(5s);
+  const auto Reply = Fleet.propose(
+      "a1x", intentText("declare_lost", "\"instance\":\"nobody\""));
+  CHECK(Reply.Status == 404);
+}
