--- a/src/features/instance/InstanceCore.cpp
+++ b/src/features/instance/InstanceCore.cpp
@@ -4,6 +4,7 @@
 #include "keys/Authentication.h"
 #include "limits/LimitsJson.h"
 #include "logging/EventLog.h"
+#include "membership/MemberRows.h"
 #include "model/FleetConfig.h"
 #include "telemetry/Metrics.h"
 
@@ -25,6 +26,7 @@
 constexpr std::chrono::seconds ClaimReleasePeriod{3};
 constexpr std::chrono::seconds ControlCallTimeout{1};
 constexpr std::chrono::milliseconds StopCheckPeriod{50};
+constexpr int MostRowAttempts = 3;
 
 Member memberOf(const InstanceOptions &Options) {
   Member Result;
@@ -336,6 +338,18 @@
   co_return this->State.Control.handle(Method, Body);
 }
 
+asio::awaitable<void> InstanceCore::recordLeft() {
+  for (int Attempt = 0; Attempt < MostRowAttempts; ++Attempt) {
+    const auto Written = co_await writeMemberRow(
+        this->Store, this->State.Control.members().self());
+    // Another writer of the row is the only fault that a repeat helps with.
+    if (Written || Written.error() != Errc::Conflict)
+      break;
+  }
+  // The announcement at the beginning of the stop may have failed.
+  co_await this->announce();
+}
+
 asio::awaitable<void> InstanceCore::leave() {
   logEvent(Event::InstanceLeaving);
   this->State.Leaving = true;
@@ -351,6 +365,7 @@
     logEvent(Event::StopCutRequests,
              {{"requests", std::to_string(this->Running)}});
   this->State.Control.members().setOwnState(MemberState::Left);
+  co_await this->recordLeft();
   // One more round of heartbeats tells the others.
   co_await sleepFor(std::chrono::milliseconds(1200));
   this->stopNow();
--- a/src/features/instance/InstanceCore.h
+++ b/src/features/instance/InstanceCore.h
@@ -69,6 +69,8 @@
   asio::awaitable<Outcome<nlohmann::json>>
   callControl(std::string Peer, std::string Method, nlohmann::json Body);
   asio::awaitable<void> announce();
+  /// Tells the store that this instance has left.
+  asio::awaitable<void> recordLeft();
   void updateMetrics();
   void handOver(Clock::time_point Now);
   void onControlChange();
--- a/src/features/instance/tst_Repairs.cpp
+++ b/src/features/instance/tst_Repairs.cpp
@@ -101,3 +101,19 @@
       "a1x", intentText("declare_lost", "\"instance\":\"nobody\""));
   CHECK(Reply.Status == 404);
 }
+
+// Guards against rows of instances that have stopped and still look live.
+TEST_CASE("A clean stop reaches the store") {
+  InstanceFleet Fleet;
+  Fleet.bringUp();
+  bool Left = false;
+  Fleet.Loop.spawn([&]() -> asio::awaitable<void> {
+    co_await Fleet.core("b1x").leave();
+    Left = true;
+  });
+  Fleet.advance(20s);
+  REQUIRE(Left);
+  CHECK(Fleet.Store.Rows.at("members/b1x").Value.find("\"left\"") !=
+        std::string::npos);
+  CHECK(Fleet.Store.Instances.at("b1x").Leaving);
+}
