--- a/src/features/instance/BackendNetwork.h
+++ b/src/features/instance/BackendNetwork.h
@@ -1,8 +1,10 @@
 #ifndef REDWINGRACK_INSTANCE_BACKENDNETWORK_H
 #define REDWINGRACK_INSTANCE_BACKENDNETWORK_H
 
+#include "base/Outcome.h"
 #include "forwarding/DispatchRequest.h"
 #include "forwarding/DispatchResult.h"
+#include "instance/ServerLoad.h"
 #include "model/BackendServer.h"
 
 #include <asio/awaitable.hpp>
@@ -18,6 +20,10 @@
       Attempt;
   /// Whether a new connection to the server is accepted now.
   std::function<asio::awaitable<bool>(BackendServer Server)> Probe;
+  /// The server's own report of its load, within 500 ms. Errc::NotFound when
+  /// the server has no such endpoint. May be empty.
+  std::function<asio::awaitable<Outcome<ServerLoad>>(BackendServer Server)>
+      Load;
 };
 
 } // namespace rr
--- a/src/features/instance/FakeServer.h
+++ b/src/features/instance/FakeServer.h
@@ -2,9 +2,11 @@
 #define REDWINGRACK_INSTANCE_FAKESERVER_H
 
 #include "base/Clock.h"
+#include "instance/ServerLoad.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace rr {
@@ -21,6 +23,10 @@
   bool Fails = false;
   Clock::duration Latency = std::chrono::milliseconds(5);
 
+  /// Answer of the load endpoint; there is no such endpoint without it.
+  std::optional<ServerLoad> Load;
+  std::uint64_t LoadAsks = 0;
+
   std::uint32_t Running = 0;
   std::uint32_t MostRunning = 0;
   std::uint64_t Served = 0;
--- a/src/features/instance/Instance.cpp
+++ b/src/features/instance/Instance.cpp
@@ -27,6 +27,8 @@
 constexpr long ServerConnections = 400;
 constexpr long PlatformConnections = 16;
 constexpr std::chrono::milliseconds ProbeTimeout{500};
+constexpr std::chrono::milliseconds LoadTimeout{500};
+constexpr std::size_t LargestLoadAnswer = 64U << 10;
 constexpr std::chrono::seconds FlushPeriod{1};
 // Answers that are on their way when everything has ended.
 constexpr std::chrono::milliseconds LastAnswerTime{200};
@@ -98,6 +100,7 @@
 private:
   BackendNetwork backendNetwork();
   asio::awaitable<bool> probe(BackendServer Server);
+  asio::awaitable<Outcome<ServerLoad>> load(BackendServer Server);
   asio::awaitable<void> flushSpans();
   asio::awaitable<void> stop();
   void postSpans(std::string OtlpJson);
@@ -153,6 +156,9 @@
   Result.Probe = [this](BackendServer Server) {
     return this->probe(std::move(Server));
   };
+  Result.Load = [this](BackendServer Server) {
+    return this->load(std::move(Server));
+  };
   return Result;
 }
 
@@ -176,6 +182,25 @@
   co_return Accepted;
 }
 
+asio::awaitable<Outcome<ServerLoad>>
+Instance::Implementation::load(BackendServer Server) {
+  HttpRequest Request;
+  Request.Url = "http://" + Server.Address + "/load";
+  Request.ConnectTimeout = LoadTimeout;
+  Request.Timeout = LoadTimeout;
+  Request.LargestAnswer = LargestLoadAnswer;
+  const HttpResult Answer =
+      co_await this->ServerClient.send(std::move(Request));
+  if (Answer.Error)
+    co_return tl::unexpected<std::error_code>(Answer.Error);
+  // Not found, method not allowed and not implemented.
+  if (Answer.Status == 404 || Answer.Status == 405 || Answer.Status == 501)
+    co_return failure(Errc::NotFound);
+  if (Answer.Status != 200)
+    co_return failure(Errc::Unavailable);
+  co_return parseServerLoad(Answer.Body);
+}
+
 void Instance::Implementation::postSpans(std::string OtlpJson) {
   HttpRequest Request;
   Request.Method = "POST";
--- a/src/features/instance/InstanceCore.cpp
+++ b/src/features/instance/InstanceCore.cpp
@@ -66,6 +66,7 @@
                this->Guard, Executor, Counters, Spans),
       Work(this->State, this->Store, this->Reports, Executor,
            holderOf(this->Options), [this] { this->onControlChange(); }),
+      Loads(this->State, this->Servers, Executor),
       Lookups(this->State, this->Options.LookupMaxAge),
       Operators(this->State, this->Work, Counters),
       Pipeline(this->requestServices(), Counters, Spans) {
@@ -98,6 +99,7 @@
   Spawn(this->runAnnouncements());
   Spawn(this->runClaimReleases());
   Spawn(this->Links.run());
+  Spawn(this->Loads.run());
   Spawn(this->Reports.run());
   Spawn(this->Work.run());
   Spawn(this->Work.runPlans());
@@ -106,6 +108,7 @@
 void InstanceCore::stopNow() {
   this->Stopping = true;
   this->Links.stop();
+  this->Loads.stop();
   this->Reports.stop();
   this->Work.stop();
 }
--- a/src/features/instance/InstanceCore.h
+++ b/src/features/instance/InstanceCore.h
@@ -10,6 +10,7 @@
 #include "instance/InstanceOptions.h"
 #include "instance/InstanceState.h"
 #include "instance/LinkKeeper.h"
+#include "instance/LoadPoller.h"
 #include "instance/LookupService.h"
 #include "instance/OperatorService.h"
 #include "instance/PeerNetwork.h"
@@ -91,6 +92,7 @@
   ReportExchange Reports;
   Dispatcher Dispatch;
   FleetWork Work;
+  LoadPoller Loads;
   LookupService Lookups;
   OperatorService Operators;
   RequestPipeline Pipeline;
--- a/src/features/instance/InstanceFleet.cpp
+++ b/src/features/instance/InstanceFleet.cpp
@@ -142,6 +142,14 @@
   Result.Probe = [this](BackendServer Server) -> asio::awaitable<bool> {
     co_return !this->Servers.at(Server.Name).Down;
   };
+  Result.Load =
+      [this](BackendServer Server) -> asio::awaitable<Outcome<ServerLoad>> {
+    FakeServer &Target = this->Servers.at(Server.Name);
+    ++Target.LoadAsks;
+    if (!Target.Load)
+      co_return failure(Errc::NotFound);
+    co_return *Target.Load;
+  };
   return Result;
 }
 
--- a/src/features/instance/tst_Repairs.cpp
+++ b/src/features/instance/tst_Repairs.cpp
@@ -19,6 +19,16 @@
   return Fleet.core(Instance).state().Control.members().find(Member);
 }
 
+// The state of a server at the instance that owns it.
+ServerPtr ownedServer(InstanceFleet &Fleet, const std::string &Server) {
+  for (auto &[Name, Item] : Fleet.Nodes) {
+    ServerPtr Found = Item.Core->state().Routing.Routes->servers().find(Server);
+    if (Found && Found->Owned)
+      return Found;
+  }
+  return nullptr;
+}
+
 } // namespace
 
 // Guards against a restarted instance that waits for the store although its
@@ -117,3 +127,30 @@
         std::string::npos);
   CHECK(Fleet.Store.Instances.at("b1x").Leaving);
 }
+
+// Guards against load reports that nobody asks for or uses.
+TEST_CASE("Load reports of backend servers reach the choice of a server") {
+  InstanceFleet Fleet;
+  Fleet.Servers.at("stock-1").Load = ServerLoad{3, 3};
+  Fleet.Servers.at("stock-2").Load = ServerLoad{0, 3};
+  Fleet.bringUp();
+  const ServerPtr Full = ownedServer(Fleet, "stock-1");
+  const ServerPtr Idle = ownedServer(Fleet, "stock-2");
+  REQUIRE(Full);
+  REQUIRE(Idle);
+  CHECK(Full->Hint.factor(Clock::now()) == Approx(2));
+  CHECK(Idle->Hint.factor(Clock::now()) == Approx(0.5));
+}
+
+// Guards against a request each second to servers that cannot answer it.
+TEST_CASE("A server without a load endpoint is left alone for a minute") {
+  InstanceFleet Fleet;
+  Fleet.bringUp();
+  Fleet.advance(60s);
+  const std::uint64_t Before = Fleet.Servers.at("stock-3").LoadAsks;
+  CHECK(Before >= 1);
+  Fleet.advance(180s);
+  const std::uint64_t More = Fleet.Servers.at("stock-3").LoadAsks - Before;
+  CHECK(More >= 2);
+  CHECK(More <= 3);
+}
