--- a/src/features/configuration/ConfigStore.cpp
+++ b/src/features/configuration/ConfigStore.cpp
@@ -1,6 +1,7 @@
 #include "configuration/ConfigStore.h"
 
 #include "base/Digest.h"
+#include "logging/EventLog.h"
 #include "model/FleetConfigJson.h"
 
 #include <utility>
@@ -13,17 +14,26 @@
   if (Version <= this->Current.Version)
     return false;
   if (sha256Hex(Text) != Hash)
-    return failure(Errc::Malformed);
+    return this->reject(Version, Hash);
   std::vector<std::string> Problems;
   auto Parsed = parseFleetConfig(Text, Problems);
   if (!Parsed || Parsed->Version != Version)
-    return failure(Errc::Malformed);
+    return this->reject(Version, Hash);
   this->Current = {Version, Hash,
                    std::make_shared<const std::string>(std::move(Text)),
                    std::make_shared<const FleetConfig>(std::move(*Parsed))};
   return true;
 }
 
+Outcome<bool> ConfigStore::reject(std::uint64_t Version,
+                                  const std::string &Hash) {
+  if (Hash != this->RejectedHash)
+    logEvent(Event::ConfigurationRejected,
+             {{"version", std::to_string(Version)}});
+  this->RejectedHash = Hash;
+  return failure(Errc::Malformed);
+}
+
 asio::awaitable<Outcome<bool>> ConfigStore::follow(const Platform &Store,
                                                    ControlHead Head) {
   if (Head.Versions.Config <= this->Current.Version)
--- a/src/features/configuration/ConfigStore.h
+++ b/src/features/configuration/ConfigStore.h
@@ -26,7 +26,12 @@
                                         ControlHead Head);
 
 private:
+  /// Logs a refused configuration once, although it is offered again and
+  /// again.
+  Outcome<bool> reject(std::uint64_t Version, const std::string &Hash);
+
   ConfigCopy Current;
+  std::string RejectedHash;
 };
 
 } // namespace rr
--- a/src/features/forwarding/RequestPipeline.cpp
+++ b/src/features/forwarding/RequestPipeline.cpp
@@ -223,6 +223,9 @@
   this->Counters.add(
       Metric::Refusals,
       {{"reason", Why.Reason}, {"outcome", executionName(Why.Outcome)}});
+  logEvent(Why.Outcome == Execution::NotRun ? Event::RequestRefused
+                                            : Event::RequestFailed,
+           {{"reason", Why.Reason}});
   return refusalResponse(Why);
 }
 
--- a/src/features/instance/Dispatcher.cpp
+++ b/src/features/instance/Dispatcher.cpp
@@ -136,6 +136,9 @@
   const std::string &Self = this->State.Control.members().self().Name;
   for (const SuspectMessage &Item : News) {
     logEvent(Event::RequestSuspect, {{"fingerprint", Item.Fingerprint}});
+    if (this->Guard.check(Item.Fingerprint, Clock::now()) ==
+        CrashGuard::Verdict::Blocked)
+      logEvent(Event::RequestBlocked, {{"fingerprint", Item.Fingerprint}});
     const json Body = encodeSuspect(Item, Clock::now());
     for (const MemberEntry *Entry : liveMembers(this->State, Clock::now())) {
       if (Entry->Record.Name == Self)
--- a/src/features/instance/InstanceCore.cpp
+++ b/src/features/instance/InstanceCore.cpp
@@ -1,12 +1,14 @@
 #include "instance/InstanceCore.h"
 
 #include "base/Timer.h"
+#include "instance/StoreCounter.h"
 #include "keys/Authentication.h"
 #include "limits/LimitsJson.h"
 #include "logging/EventLog.h"
 #include "membership/MemberRows.h"
 #include "model/FleetConfig.h"
 #include "telemetry/Metrics.h"
+#include "telemetry/SpanExporter.h"
 
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
@@ -48,7 +50,8 @@
                            InstanceOptions Options, Platform Store,
                            PeerNetwork Network, BackendNetwork Servers,
                            Metrics &Counters, SpanExporter *Spans)
-    : Executor(Executor), Options(std::move(Options)), Store(std::move(Store)),
+    : Executor(Executor), Options(std::move(Options)),
+      Store(countStoreCalls(std::move(Store), Counters)),
       Network(std::move(Network)), Servers(std::move(Servers)),
       Counters(Counters), Spans(Spans),
       State(
@@ -128,6 +131,10 @@
     if (Fresh != this->WasFresh)
       logEvent(Fresh ? Event::FreshnessGained : Event::FreshnessLost);
     this->WasFresh = Fresh;
+    const bool StoreDown = this->State.Control.isStoreDown();
+    if (StoreDown != this->WasStoreDown)
+      logEvent(StoreDown ? Event::StoreUnavailable : Event::StoreAvailable);
+    this->WasStoreDown = StoreDown;
     this->EverFresh = this->EverFresh || Fresh;
     co_await sleepFor(TickPeriod);
   }
@@ -151,7 +158,8 @@
     }
     this->handOver(Now);
     this->Lookups.update(Now);
-    this->updateMetrics();
+    this->noteEjections();
+    this->updateMetrics(Now);
     co_await sleepFor(RoutingPeriod);
   }
 }
@@ -210,7 +218,26 @@
   this->Dispatch.publish("controlHint", json::object());
 }
 
-void InstanceCore::updateMetrics() {
+void InstanceCore::noteEjections() {
+  if (!this->State.Routing.Routes)
+    return;
+  std::set<std::string> Now;
+  for (const ServerPtr &Item : this->State.Routing.Routes->servers().all())
+    if (Item->Owned && Item->Health.health() == Ejection::Health::Ejected)
+      Now.insert(Item->Config.Name);
+  for (const std::string &Name : Now)
+    if (!this->Ejected.contains(Name))
+      logEvent(Event::ServerEjected, {{"server", Name}});
+  for (const std::string &Name : this->Ejected) {
+    const ServerPtr Server = this->State.Routing.Routes->servers().find(Name);
+    // A server that went to another owner has not returned.
+    if (!Now.contains(Name) && Server && Server->Owned)
+      logEvent(Event::ServerReturned, {{"server", Name}});
+  }
+  this->Ejected = std::move(Now);
+}
+
+void InstanceCore::updateMetrics(Clock::time_point Now) {
   const auto Set = [&](Metric Which, double Value) {
     this->Counters.set(Which, {}, Value);
   };
@@ -220,6 +247,25 @@
       static_cast<double>(this->State.Control.keys().version()));
   Set(Metric::Fresh, this->WasFresh ? 1 : 0);
   Set(Metric::Running, static_cast<double>(this->Running));
+  std::map<MemberState, int> Members;
+  for (const auto &[Name, Entry] : this->State.Control.members().entries())
+    ++Members[Entry.Record.State];
+  for (const MemberState State :
+       {MemberState::Live, MemberState::Leaving, MemberState::Left,
+        MemberState::Ended, MemberState::Lost})
+    this->Counters.set(Metric::Members, {{"state", nameOf(State)}},
+                       Members[State]);
+  if (const auto Config = configOf(this->State))
+    for (const Workspace &Item : Config->Workspaces)
+      this->Counters.set(
+          Metric::ShareRate, {{"workspace", Item.Name}},
+          toRequests(this->State.Shares.held(Item.Name, Now).Rate));
+  if (this->Spans && this->Spans->dropped() != this->SpansDropped) {
+    const std::uint64_t Dropped = this->Spans->dropped();
+    this->Counters.add(Metric::SpansDropped, {},
+                       static_cast<double>(Dropped - this->SpansDropped));
+    this->SpansDropped = Dropped;
+  }
 }
 
 KeyDecision InstanceCore::authenticate(const std::string &Key) {
--- a/src/features/instance/InstanceCore.h
+++ b/src/features/instance/InstanceCore.h
@@ -17,6 +17,9 @@
 #include "instance/ReportExchange.h"
 #include "quarantine/CrashGuard.h"
 
+#include <set>
+#include <string>
+
 namespace rr {
 
 class Metrics;
@@ -72,7 +75,8 @@
   asio::awaitable<void> announce();
   /// Tells the store that this instance has left.
   asio::awaitable<void> recordLeft();
-  void updateMetrics();
+  void noteEjections();
+  void updateMetrics(Clock::time_point Now);
   void handOver(Clock::time_point Now);
   void onControlChange();
   void noteAdmitted(const DispatchRequest &Request);
@@ -96,6 +100,10 @@
   LookupService Lookups;
   OperatorService Operators;
   RequestPipeline Pipeline;
+  /// Owned servers that were ejected at the last look.
+  std::set<std::string> Ejected;
+  std::uint64_t SpansDropped = 0;
+  bool WasStoreDown = false;
   bool WasFresh = false;
   bool EverFresh = false;
   std::uint64_t ConfigSeen = 0;
--- a/src/features/instance/InstanceState.cpp
+++ b/src/features/instance/InstanceState.cpp
@@ -18,6 +18,22 @@
                           Now);
 }
 
+const char *nameOf(MemberState State) {
+  switch (State) {
+  case MemberState::Live:
+    return "live";
+  case MemberState::Leaving:
+    return "leaving";
+  case MemberState::Left:
+    return "left";
+  case MemberState::Ended:
+    return "ended";
+  case MemberState::Lost:
+    return "lost";
+  }
+  return "live";
+}
+
 bool isFresh(const InstanceState &State, Clock::time_point Now) {
   return Now <= State.Control.validUntil();
 }
--- a/src/features/instance/InstanceState.h
+++ b/src/features/instance/InstanceState.h
@@ -30,6 +30,9 @@
 /// Lets the shares be used as long as the freshness proof holds.
 void refreshProof(InstanceState &State, Clock::time_point Now);
 
+/// The state as the administration API and the metrics name it.
+const char *nameOf(MemberState State);
+
 bool isFresh(const InstanceState &State, Clock::time_point Now);
 
 /// Takes over a share epoch; one that is not newer changes nothing.
--- a/src/features/instance/OperatorService.cpp
+++ b/src/features/instance/OperatorService.cpp
@@ -20,22 +20,6 @@
 
 const std::string StorelessPrefix = "storeless-";
 
-const char *stateName(MemberState State) {
-  switch (State) {
-  case MemberState::Live:
-    return "live";
-  case MemberState::Leaving:
-    return "leaving";
-  case MemberState::Left:
-    return "left";
-  case MemberState::Ended:
-    return "ended";
-  case MemberState::Lost:
-    return "lost";
-  }
-  return "live";
-}
-
 std::int64_t milliseconds(Clock::duration Time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
 }
@@ -130,7 +114,7 @@
     json Item = {{"name", Name},
                  {"zone", Entry.Record.Zone},
                  {"caller_address", Entry.Record.CallerAddress},
-                 {"state", stateName(Entry.Record.State)},
+                 {"state", nameOf(Entry.Record.State)},
                  {"live", Members.isLive(Entry, Now)},
                  {"configuration", Entry.Acknowledged.Config},
                  {"key_set", Entry.Acknowledged.Keys}};
@@ -251,6 +235,9 @@
   if (Answer.Error)
     co_return replyOf(Answer, 200);
   logEvent(Event::PlanConfirmed, {{"plan", Plan}, {"operator", Operator}});
+  if (const auto *Key = std::get_if<IssueKey>(&Answer.Current->Wish))
+    logEvent(Event::KeyIssued, {{"hash", Key->KeyHash.substr(0, 12)},
+                                {"workspace", Key->Workspace}});
   const auto *Withdrawal = std::get_if<WithdrawKey>(&Answer.Current->Wish);
   // The row is written; this tells the instances without waiting for them to
   // read it, and follows who has confirmed.
--- a/src/features/instance/tst_Repairs.cpp
+++ b/src/features/instance/tst_Repairs.cpp
@@ -154,3 +154,19 @@
   CHECK(More >= 2);
   CHECK(More <= 3);
 }
+
+// Guards against metrics of the catalogue that are never set.
+TEST_CASE("Members, shares and store calls are in the metrics") {
+  InstanceFleet Fleet;
+  Fleet.bringUp();
+  const auto Has = [&](const std::string &Line) {
+    return Fleet.Nodes.at("a1x").Counters->format().find(Line) !=
+           std::string::npos;
+  };
+  CHECK(Has("redwingrack_members{state=\"live\"} 4"));
+  CHECK(Has("redwingrack_share_rate{workspace=\"w\"}"));
+  CHECK(Has("redwingrack_store_calls_total{call=\"read_row\",result=\"ok\"}"));
+  Fleet.Store.Down = true;
+  Fleet.advance(5s);
+  CHECK(Has("call=\"read_row\",result=\"failed\"}"));
+}
--- a/src/features/plans/PlanExecutor.cpp
+++ b/src/features/plans/PlanExecutor.cpp
@@ -1,5 +1,6 @@
 #include "plans/PlanExecutor.h"
 
+#include "logging/EventLog.h"
 #include "model/FleetConfig.h"
 #include "plans/PlanDecision.h"
 #include "plans/PlanEdits.h"
@@ -130,7 +131,16 @@
   addHistory(Next, {Next.State, Now, Change.By, Change.Reason});
   // An outcome that is not known is found in the rows on the next look, and a
   // conflict means that they have changed.
-  co_await this->Plans.apply(std::move(Change));
+  const Plan Written = Change.Next;
+  if (!co_await this->Plans.apply(std::move(Change)))
+    co_return;
+  if (isEnded(Written.State))
+    logEvent(Event::PlanEnded, {{"plan", Written.Id},
+                                {"state", nameOf(Written.State)},
+                                {"result", Written.Result}});
+  else if (Written.State == PlanState::Paused)
+    logEvent(Event::PlanPaused,
+             {{"plan", Written.Id}, {"reason", Move.Reason}});
 }
 
 std::optional<double> PlanExecutor::headroomOf(const Plan &Current) const {
