Answer proposals without the store as they are

A refusal showed a plan that was not stored, and a withdrawal without the store had no id, state and result, so that redwingrack watch never ended.

--- a/src/features/instance/OperatorService.cpp
+++ b/src/features/instance/OperatorService.cpp
@@ -52,7 +52,8 @@
   json Body = {{"error", codeFor(Error)},
                {"detail", Error.message()},
                {"problems", Reasons}};
-  if (Current)
+  // After any other error the plan was not stored.
+  if (Current && Error == Errc::Conflict)
     Body["plan"] = formatPlan(*Current);
   return {statusFor(Error), Body.dump()};
 }
@@ -144,18 +145,15 @@
   return {200, Body.dump()};
 }
 
-asio::awaitable<AdminReply> OperatorService::withdraw(std::string Hash) {
+asio::awaitable<Outcome<void>> OperatorService::withdraw(std::string Hash) {
   const auto Parsed = parseKeyHash(Hash);
   if (!Parsed)
-    co_return adminError(400, "malformed", "expected a SHA-256 hash");
+    co_return tl::unexpected<std::error_code>(Parsed.error());
   const auto Report = co_await this->State.Control.withdraw(*Parsed);
   if (!Report)
-    co_return adminError(503, "limit_reached", Report.error().message());
+    co_return tl::unexpected<std::error_code>(Report.error());
   logEvent(Event::KeyWithdrawn, {{"hash", Hash.substr(0, 12)}});
-  const json Body = {{"id", StorelessPrefix + Hash},
-                     {"state", Report->InForce ? "finished" : "running"},
-                     {"withdrawal", reportJson(*Report)}};
-  co_return AdminReply{200, Body.dump()};
+  co_return Outcome<void>();
 }
 
 AdminReply OperatorService::proposeStoreless(Intent Wish) {
@@ -184,24 +182,47 @@
 asio::awaitable<AdminReply>
 OperatorService::confirmStoreless(std::string Operator, std::string Plan) {
   StorelessPlan &Current = this->StorelessPlans.at(Plan);
+  if (const auto *Withdrawal = std::get_if<WithdrawKey>(&Current.Wish)) {
+    const auto Taken = co_await this->withdraw(Withdrawal->KeyHash);
+    if (!Taken && Taken.error() == Errc::LimitReached)
+      co_return adminError(503, "limit_reached", Taken.error().message());
+    if (!Taken)
+      co_return refusal(Taken.error(), {}, std::nullopt);
+  } else {
+    this->Work.declareLost(std::get<DeclareLost>(Current.Wish).Instance);
+  }
   Current.Confirmed = true;
   logEvent(Event::PlanConfirmed, {{"plan", Plan}, {"operator", Operator}});
-  if (const auto *Withdrawal = std::get_if<WithdrawKey>(&Current.Wish))
-    co_return co_await this->withdraw(Withdrawal->KeyHash);
-  this->Work.declareLost(std::get<DeclareLost>(Current.Wish).Instance);
   co_return this->showStoreless(Plan);
 }
 
 AdminReply OperatorService::showStoreless(const std::string &Plan) {
   const StorelessPlan &Current = this->StorelessPlans.at(Plan);
-  if (const auto *Withdrawal = std::get_if<WithdrawKey>(&Current.Wish))
-    return this->keyReport(Withdrawal->KeyHash);
-  const std::string &Instance = std::get<DeclareLost>(Current.Wish).Instance;
-  json Body = {{"id", Plan},
-               {"state", Current.Confirmed ? "finished" : "proposed"},
-               {"result", ""}};
-  if (Current.Confirmed)
-    Body["result"] = "Instance " + Instance + " is declared lost.";
+  json Body = {{"id", Plan}, {"state", "proposed"}, {"result", ""}};
+  if (!Current.Confirmed)
+    return {200, Body.dump()};
+  Body["state"] = "finished";
+  const auto *Withdrawal = std::get_if<WithdrawKey>(&Current.Wish);
+  if (!Withdrawal) {
+    Body["result"] = "Instance " +
+                     std::get<DeclareLost>(Current.Wish).Instance +
+                     " is declared lost.";
+    return {200, Body.dump()};
+  }
+  const auto Hash = parseKeyHash(Withdrawal->KeyHash);
+  const auto Report = this->State.Control.withdrawalReport(*Hash);
+  Body["result"] = "The key is withdrawn at all instances.";
+  // Reports of withdrawals that are in force and durable are forgotten.
+  if (Report) {
+    Body["withdrawal"] = reportJson(*Report);
+    if (!Report->InForce) {
+      Body["state"] = "running";
+      Body["result"] = "";
+    } else if (!Report->Durable) {
+      Body["result"] = "The key is withdrawn at all instances; the store does "
+                       "not have the withdrawal yet.";
+    }
+  }
   return {200, Body.dump()};
 }
 
--- a/src/features/instance/OperatorService.h
+++ b/src/features/instance/OperatorService.h
@@ -2,6 +2,7 @@
 #define REDWINGRACK_INSTANCE_OPERATORSERVICE_H
 
 #include "admin/AdminServices.h"
+#include "base/Outcome.h"
 #include "plans/Intent.h"
 #include "plans/PlanAnswer.h"
 
@@ -35,7 +36,7 @@
   asio::awaitable<AdminReply> confirmStoreless(std::string Operator,
                                                std::string Plan);
   AdminReply showStoreless(const std::string &Plan);
-  asio::awaitable<AdminReply> withdraw(std::string Hash);
+  asio::awaitable<Outcome<void>> withdraw(std::string Hash);
 
   InstanceState &State;
   FleetWork &Work;
--- a/src/features/instance/tst_Repairs.cpp
+++ b/src/features/instance/tst_Repairs.cpp
@@ -170,3 +170,38 @@
   Fleet.advance(5s);
   CHECK(Has("call=\"read_row\",result=\"failed\"}"));
 }
+
+// Guards against an answer that shows a plan which does not exist.
+TEST_CASE("A proposal that was not stored is refused without its plan") {
+  InstanceFleet Fleet;
+  Fleet.bringUp();
+  Fleet.Store.Down = true;
+  Fleet.advance(5s);
+  const auto Reply = Fleet.propose(
+      "a1x", intentText("set_rate", "\"workspace\":\"v\",\"rate_per_second\":"
+                                    "30,\"burst\":5"));
+  INFO(Reply.Body);
+  CHECK(Reply.Status == 503);
+  CHECK_FALSE(bodyOf(Reply).contains("plan"));
+}
+
+// Guards against `redwingrack watch` waiting for a state that never comes.
+TEST_CASE("A withdrawal without the store is shown as a plan with its end") {
+  InstanceFleet Fleet;
+  Fleet.bringUp();
+  Fleet.Store.Down = true;
+  Fleet.advance(5s);
+  const auto Proposed = Fleet.propose(
+      "a1x", intentText("withdraw_key",
+                        "\"key_hash\":\"" + sha256Hex(Fleet.Key) + "\""));
+  const auto Id = bodyOf(Proposed).value("id", "");
+  CHECK(Fleet.stateOf("a1x", Id) == "proposed");
+  const auto Confirmed = Fleet.confirm("a1x", Id);
+  CHECK(bodyOf(Confirmed).value("id", "") == Id);
+  Fleet.advance(5s);
+  const json Shown = bodyOf(Fleet.show("a1x", Id));
+  INFO(Shown.dump());
+  CHECK(Shown.value("id", "") == Id);
+  CHECK(Shown.value("state", "") == "finished");
+  CHECK_FALSE(Shown.value("result", "").empty());
+}
