--- a/src/features/instance/FleetWork.cpp
+++ b/src/features/instance/FleetWork.cpp
@@ -5,7 +5,6 @@
 #include "instance/ControlCommit.h"
 #include "instance/InstanceState.h"
 #include "instance/ReportExchange.h"
-#include "instance/SpillJson.h"
 #include "limits/LimitsJson.h"
 #include "logging/EventLog.h"
 #include "membership/MemberRows.h"
@@ -13,6 +12,7 @@
 #include "model/FleetConfig.h"
 #include "platform/PlatformCalls.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace rr {
@@ -21,6 +21,9 @@
 
 constexpr std::chrono::seconds WorkPeriod{1};
 constexpr std::chrono::milliseconds BarrierCheckPeriod{100};
+// Answer time of servers that have not answered yet. A longer one made idle
+// regions look too small, so that draining an idle server was refused.
+constexpr std::chrono::milliseconds AssumedLatency{20};
 
 std::map<std::string, ShareAmount> allowancesOf(const FleetConfig &Config) {
   std::map<std::string, ShareAmount> Result;
@@ -118,15 +121,46 @@
     Sum.Region = Item->Demand.Region;
     for (const WorkspaceDemand &Part : Item->Demand.Workspaces)
       Sum.Load += toRequests(Part.Demand);
-    for (const ServiceHeadroom &Part : Item->Headroom)
-      Sum.Capacity += freePerSecond(Part);
     Sum.Age = std::max(Sum.Age, Now - Item->MadeAt);
   }
+  // Slots in use and slow starts say little about what a region can serve, so
+  // that the capacity comes from the configured slots.
+  const auto Latencies = this->latencies();
+  if (const auto Config = configOf(this->State))
+    for (const BackendServer &Item : Config->Servers) {
+      const auto Sum = Sums.find(regionOfZone(*Config, Item.Zone));
+      if (Item.Draining || Sum == Sums.end())
+        continue;
+      const auto Known =
+          Latencies.find({Sum->first, Item.Service, Item.Version});
+      const double Seconds =
+          Known != Latencies.end()
+              ? Known->second
+              : std::chrono::duration<double>(AssumedLatency).count();
+      Sum->second.Capacity += Item.Slots / Seconds;
+    }
   std::vector<RegionLoad> Result;
-  for (auto &[Region, Sum] : Sums) {
-    Sum.Capacity += Sum.Load;
+  for (const auto &[Region, Sum] : Sums)
     Result.push_back(Sum);
-  }
+  return Result;
+}
+
+FleetWork::Latencies FleetWork::latencies() const {
+  std::map<Latencies::key_type, std::pair<double, double>> Sums;
+  for (const InstanceReport *Item : this->Reports.recent(Clock::now()))
+    for (const ServiceHeadroom &Part : Item->Headroom) {
+      if (Part.Latency.count() == 0)
+        continue;
+      auto &[Sum, Weight] =
+          Sums[{Item->Demand.Region, Part.Service, Part.Version}];
+      // Ejected servers have no slots, and their latency still counts.
+      const double Slots = std::max<std::uint32_t>(Part.Slots, 1);
+      Sum += Slots * std::chrono::duration<double>(Part.Latency).count();
+      Weight += Slots;
+    }
+  Latencies Result;
+  for (const auto &[Where, Item] : Sums)
+    Result[Where] = Item.first / Item.second;
   return Result;
 }
 
--- a/src/features/instance/FleetWork.h
+++ b/src/features/instance/FleetWork.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 
 namespace rr {
 
@@ -52,6 +53,10 @@
   asio::awaitable<bool> writeEpoch(ShareAllocation Next);
   void confirmShares(Clock::time_point Now);
   std::vector<AllocationMember> allocationMembers(Clock::time_point Now);
+  /// Seconds by region, service and version.
+  using Latencies =
+      std::map<std::tuple<std::string, std::string, std::string>, double>;
+  Latencies latencies() const;
   std::vector<RegionLoad> regionLoads() const;
   std::vector<WorkspaceLoad> workspaceLoads() const;
   std::optional<double> versionHeadroom(const std::string &Service,
--- a/src/features/instance/tst_Repairs.cpp
+++ b/src/features/instance/tst_Repairs.cpp
@@ -205,3 +205,20 @@
   CHECK(Shown.value("state", "") == "finished");
   CHECK_FALSE(Shown.value("result", "").empty());
 }
+
+// Guards against a region whose idle servers count with the slots of their slow
+// start only, so that a drain is refused for want of capacity.
+TEST_CASE("The capacity of an idle region comes from its slots") {
+  InstanceFleet Fleet;
+  Fleet.bringUp();
+  const auto Reply = Fleet.propose(
+      "a1x", intentText("drain_server", "\"server\":\"stock-1\""));
+  REQUIRE(Reply.Status == 201);
+  const json Regions = bodyOf(Reply)["regions"];
+  INFO(Regions.dump());
+  REQUIRE_FALSE(Regions.empty());
+  // Seven servers with 3 slots each and 20 ms a request.
+  CHECK(Regions[0]["region"] == "a");
+  CHECK(Regions[0]["capacity_before"].get<double>() == Approx(1050));
+  CHECK(Regions[0]["capacity_after"].get<double>() == Approx(900));
+}
