Send reports between relays in both directions

Zone summaries are calls from the lower to the higher name. Reports followed the same list as one-way messages, so that some relays had no report of other zones and made plans without their load.

--- a/src/features/instance/ReportExchange.cpp
+++ b/src/features/instance/ReportExchange.cpp
@@ -139,7 +139,14 @@
     if (Item->Demand.Region == Region)
       OfRegion.push_back(Item);
   }
-  this->sendTo(Exchange.zoneSummaryTargets(Now), OfZone, Now);
+  // Reports are one-way messages, so that each relay sends to all others.
+  // Zone summaries are calls, and go to half of them.
+  std::vector<std::string> OtherRelays;
+  for (const std::string &Zone : Members.zones())
+    if (Zone != Self.Zone)
+      for (const std::string &Relay : Members.relays(Zone, Now))
+        OtherRelays.push_back(Relay);
+  this->sendTo(OtherRelays, OfZone, Now);
   std::vector<std::string> ZoneMembers;
   for (const MemberEntry *Entry : Members.countedIn(Self.Zone))
     if (Entry->Record.Name != Self.Name)
--- a/src/features/instance/tst_Repairs.cpp
+++ b/src/features/instance/tst_Repairs.cpp
@@ -222,3 +222,20 @@
   CHECK(Regions[0]["capacity_before"].get<double>() == Approx(1050));
   CHECK(Regions[0]["capacity_after"].get<double>() == Approx(900));
 }
+
+// Guards against reports that travel between two relays in one direction only,
+// so that some relays make plans without the load of other regions.
+TEST_CASE("Every relay makes plans with the load of every region") {
+  InstanceFleet Fleet;
+  Fleet.bringUp();
+  for (const char *Name : {"a1x", "a1y", "a2x", "b1x"}) {
+    const auto Reply = Fleet.propose(
+        Name, intentText("drain_server", "\"server\":\"stock-4\""));
+    REQUIRE(Reply.Status == 201);
+    const json Regions = bodyOf(Reply)["regions"];
+    INFO(Name << " " << Regions.dump());
+    REQUIRE(Regions.size() == 2);
+    CHECK(Regions[0]["capacity_before"].get<double>() == Approx(1050));
+    CHECK(Regions[1]["capacity_before"].get<double>() == Approx(300));
+  }
+}
