--- a/src/features/instance/tst_Repairs.cpp
+++ b/src/features/instance/tst_Repairs.cpp
@@ -239,3 +239,19 @@
     CHECK(Regions[1]["capacity_before"].get<double>() == Approx(300));
   }
 }
+
+// Guards against load reports with missing, negative or zero members that
+// reach the choice of a server.
+TEST_CASE("A malformed load report is an error value") {
+  const auto Good = parseServerLoad(R"({"running":2,"slots":8,"other":"x"})");
+  REQUIRE(Good);
+  CHECK(Good->Running == 2);
+  CHECK(Good->Slots == 8);
+  for (const char *Text :
+       {"", "[]", "{}", R"({"running":2})", R"({"running":-1,"slots":8})",
+        R"({"running":2,"slots":0})", R"({"running":2.5,"slots":8})",
+        R"({"running":"2","slots":8})"}) {
+    INFO(Text);
+    CHECK_FALSE(parseServerLoad(Text));
+  }
+}
