--- a/src/features/instance/InstanceCore.cpp
+++ b/src/features/instance/InstanceCore.cpp
@@ -1,11 +1,14 @@
 #include "instance/InstanceCore.h"
 
 #include "base/Timer.h"
+#include "instance/StoreCounter.h"
 #include "keys/Authentication.h"
 #include "limits/LimitsJson.h"
 #include "logging/EventLog.h"
+#include "membership/MemberRows.h"
 #include "model/FleetConfig.h"
 #include "telemetry/Metrics.h"
+#include "telemetry/SpanExporter.h"
 
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
@@ -25,6 +28,7 @@
 constexpr std::chrono::seconds ClaimReleasePeriod{3};
 constexpr std::chrono::seconds ControlCallTimeout{1};
 constexpr std::chrono::milliseconds StopCheckPeriod{50};
+constexpr int MostRowAttempts = 3;
 
 Member memberOf(const InstanceOptions &Options) {
   Member Result;
@@ -46,7 +50,8 @@
                            InstanceOptions Options, Platform Store,
                            PeerNetwork Network, BackendNetwork Servers,
                            Metrics &Counters, SpanExporter *Spans)
-    : Executor(Executor), Options(std::move(Options)), Store(std::move(Store)),
+    : Executor(Executor), Options(std::move(Options)),
+      Store(countStoreCalls(std::move(Store), Counters)),
       Network(std::move(Network)), Servers(std::move(Servers)),
       Counters(Counters), Spans(Spans),
       State(
@@ -56,17 +61,22 @@
                                      std::move(Body));
           },
           this->Options.RandomSeed),
-      Links(this->State.Control, this->Network), Guard(holderOf(this->Options)),
-      Claims(this->Store),
+      Links(this->State.Control, this->Network, this->Options.Seeds),
+      Guard(holderOf(this->Options)), Claims(this->Store),
       Limits(this->State, this->Network, Executor, Counters),
       Reports(this->State, this->Network, this->Limits, Executor),
       Dispatch(this->State, this->Network, this->Servers, this->Links,
                this->Guard, Executor, Counters, Spans),
       Work(this->State, this->Store, this->Reports, Executor,
            holderOf(this->Options), [this] { this->onControlChange(); }),
+      Loads(this->State, this->Servers, Executor),
       Lookups(this->State, this->Options.LookupMaxAge),
       Operators(this->State, this->Work, Counters),
       Pipeline(this->requestServices(), Counters, Spans) {
+  std::vector<std::string> SeedNames;
+  for (const PeerSeed &Seed : this->Options.Seeds)
+    SeedNames.push_back(Seed.Name);
+  this->State.Control.setSeeds(std::move(SeedNames));
   this->State.Control.onShares(
       [this](std::uint64_t Epoch, std::string Peer) -> asio::awaitable<void> {
         if (Peer.empty()) {
@@ -92,6 +102,7 @@
   Spawn(this->runAnnouncements());
   Spawn(this->runClaimReleases());
   Spawn(this->Links.run());
+  Spawn(this->Loads.run());
   Spawn(this->Reports.run());
   Spawn(this->Work.run());
   Spawn(this->Work.runPlans());
@@ -100,6 +111,7 @@
 void InstanceCore::stopNow() {
   this->Stopping = true;
   this->Links.stop();
+  this->Loads.stop();
   this->Reports.stop();
   this->Work.stop();
 }
@@ -119,6 +131,10 @@
     if (Fresh != this->WasFresh)
       logEvent(Fresh ? Event::FreshnessGained : Event::FreshnessLost);
     this->WasFresh = Fresh;
+    const bool StoreDown = this->State.Control.isStoreDown();
+    if (StoreDown != this->WasStoreDown)
+      logEvent(StoreDown ? Event::StoreUnavailable : Event::StoreAvailable);
+    this->WasStoreDown = StoreDown;
     this->EverFresh = this->EverFresh || Fresh;
     co_await sleepFor(TickPeriod);
   }
@@ -142,7 +158,8 @@
     }
     this->handOver(Now);
     this->Lookups.update(Now);
-    this->updateMetrics();
+    this->noteEjections();
+    this->updateMetrics(Now);
     co_await sleepFor(RoutingPeriod);
   }
 }
@@ -201,7 +218,26 @@
   this->Dispatch.publish("controlHint", json::object());
 }
 
-void InstanceCore::updateMetrics() {
+void InstanceCore::noteEjections() {
+  if (!this->State.Routing.Routes)
+    return;
+  std::set<std::string> Now;
+  for (const ServerPtr &Item : this->State.Routing.Routes->servers().all())
+    if (Item->Owned && Item->Health.health() == Ejection::Health::Ejected)
+      Now.insert(Item->Config.Name);
+  for (const std::string &Name : Now)
+    if (!this->Ejected.contains(Name))
+      logEvent(Event::ServerEjected, {{"server", Name}});
+  for (const std::string &Name : this->Ejected) {
+    const ServerPtr Server = this->State.Routing.Routes->servers().find(Name);
+    // A server that went to another owner has not returned.
+    if (!Now.contains(Name) && Server && Server->Owned)
+      logEvent(Event::ServerReturned, {{"server", Name}});
+  }
+  this->Ejected = std::move(Now);
+}
+
+void InstanceCore::updateMetrics(Clock::time_point Now) {
   const auto Set = [&](Metric Which, double Value) {
     this->Counters.set(Which, {}, Value);
   };
@@ -211,6 +247,25 @@
       static_cast<double>(this->State.Control.keys().version()));
   Set(Metric::Fresh, this->WasFresh ? 1 : 0);
   Set(Metric::Running, static_cast<double>(this->Running));
+  std::map<MemberState, int> Members;
+  for (const auto &[Name, Entry] : this->State.Control.members().entries())
+    ++Members[Entry.Record.State];
+  for (const MemberState State :
+       {MemberState::Live, MemberState::Leaving, MemberState::Left,
+        MemberState::Ended, MemberState::Lost})
+    this->Counters.set(Metric::Members, {{"state", nameOf(State)}},
+                       Members[State]);
+  if (const auto Config = configOf(this->State))
+    for (const Workspace &Item : Config->Workspaces)
+      this->Counters.set(
+          Metric::ShareRate, {{"workspace", Item.Name}},
+          toRequests(this->State.Shares.held(Item.Name, Now).Rate));
+  if (this->Spans && this->Spans->dropped() != this->SpansDropped) {
+    const std::uint64_t Dropped = this->Spans->dropped();
+    this->Counters.add(Metric::SpansDropped, {},
+                       static_cast<double>(Dropped - this->SpansDropped));
+    this->SpansDropped = Dropped;
+  }
 }
 
 KeyDecision InstanceCore::authenticate(const std::string &Key) {
@@ -332,6 +387,18 @@
   co_return this->State.Control.handle(Method, Body);
 }
 
+asio::awaitable<void> InstanceCore::recordLeft() {
+  for (int Attempt = 0; Attempt < MostRowAttempts; ++Attempt) {
+    const auto Written = co_await writeMemberRow(
+        this->Store, this->State.Control.members().self());
+    // Another writer of the row is the only fault that a repeat helps with.
+    if (Written || Written.error() != Errc::Conflict)
+      break;
+  }
+  // The announcement at the beginning of the stop may have failed.
+  co_await this->announce();
+}
+
 asio::awaitable<void> InstanceCore::leave() {
   logEvent(Event::InstanceLeaving);
   this->State.Leaving = true;
@@ -347,6 +414,7 @@
     logEvent(Event::StopCutRequests,
              {{"requests", std::to_string(this->Running)}});
   this->State.Control.members().setOwnState(MemberState::Left);
+  co_await this->recordLeft();
   // One more round of heartbeats tells the others.
   co_await sleepFor(std::chrono::milliseconds(1200));
   this->stopNow();
--- a/src/features/instance/InstanceCore.h
+++ b/src/features/instance/InstanceCore.h
@@ -10,12 +10,16 @@
 #include "instance/InstanceOptions.h"
 #include "instance/InstanceState.h"
 #include "instance/LinkKeeper.h"
+#include "instance/LoadPoller.h"
 #include "instance/LookupService.h"
 #include "instance/OperatorService.h"
 #include "instance/PeerNetwork.h"
 #include "instance/ReportExchange.h"
 #include "quarantine/CrashGuard.h"
 
+#include <set>
+#include <string>
+
 namespace rr {
 
 class Metrics;
@@ -70,7 +74,10 @@
   asio::awaitable<Outcome<nlohmann::json>>
   callControl(std::string Peer, std::string Method, nlohmann::json Body);
   asio::awaitable<void> announce();
-  void updateMetrics();
+  /// Tells the store that this instance has left.
+  asio::awaitable<void> recordLeft();
+  void noteEjections();
+  void updateMetrics(Clock::time_point Now);
   void handOver(Clock::time_point Now);
   void onControlChange();
   void noteAdmitted(const DispatchRequest &Request);
@@ -90,9 +97,14 @@
   ReportExchange Reports;
   Dispatcher Dispatch;
   FleetWork Work;
+  LoadPoller Loads;
   LookupService Lookups;
   OperatorService Operators;
   RequestPipeline Pipeline;
+  /// Owned servers that were ejected at the last look.
+  std::set<std::string> Ejected;
+  std::uint64_t SpansDropped = 0;
+  bool WasStoreDown = false;
   bool WasFresh = false;
   bool EverFresh = false;
   std::uint64_t ConfigSeen = 0;
--- a/src/features/instance/InstanceFleet.cpp
+++ b/src/features/instance/InstanceFleet.cpp
@@ -55,6 +55,7 @@
   Options.Incarnation = Item.Incarnation;
   Options.RandomSeed = Item.Incarnation;
   Options.StopGrace = std::chrono::seconds(10);
+  Options.Seeds = this->Seeds;
   Item.Counters = std::make_unique<Metrics>();
   Item.Core = std::make_unique<InstanceCore>(
       this->Loop.context().get_executor(), Options,
@@ -141,6 +142,14 @@
   Result.Probe = [this](BackendServer Server) -> asio::awaitable<bool> {
     co_return !this->Servers.at(Server.Name).Down;
   };
+  Result.Load =
+      [this](BackendServer Server) -> asio::awaitable<Outcome<ServerLoad>> {
+    FakeServer &Target = this->Servers.at(Server.Name);
+    ++Target.LoadAsks;
+    if (!Target.Load)
+      co_return failure(Errc::NotFound);
+    co_return *Target.Load;
+  };
   return Result;
 }
 
--- a/src/features/instance/OperatorService.cpp
+++ b/src/features/instance/OperatorService.cpp
@@ -20,22 +20,6 @@
 
 const std::string StorelessPrefix = "storeless-";
 
-const char *stateName(MemberState State) {
-  switch (State) {
-  case MemberState::Live:
-    return "live";
-  case MemberState::Leaving:
-    return "leaving";
-  case MemberState::Left:
-    return "left";
-  case MemberState::Ended:
-    return "ended";
-  case MemberState::Lost:
-    return "lost";
-  }
-  return "live";
-}
-
 std::int64_t milliseconds(Clock::duration Time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
 }
@@ -68,7 +52,8 @@
   json Body = {{"error", codeFor(Error)},
                {"detail", Error.message()},
                {"problems", Reasons}};
-  if (Current)
+  // After any other error the plan was not stored.
+  if (Current && Error == Errc::Conflict)
     Body["plan"] = formatPlan(*Current);
   return {statusFor(Error), Body.dump()};
 }
@@ -130,7 +115,7 @@
     json Item = {{"name", Name},
                  {"zone", Entry.Record.Zone},
                  {"caller_address", Entry.Record.CallerAddress},
-                 {"state", stateName(Entry.Record.State)},
+                 {"state", nameOf(Entry.Record.State)},
                  {"live", Members.isLive(Entry, Now)},
                  {"configuration", Entry.Acknowledged.Config},
                  {"key_set", Entry.Acknowledged.Keys}};
@@ -160,32 +145,85 @@
   return {200, Body.dump()};
 }
 
-asio::awaitable<AdminReply> OperatorService::withdraw(std::string Hash) {
+asio::awaitable<Outcome<void>> OperatorService::withdraw(std::string Hash) {
   const auto Parsed = parseKeyHash(Hash);
   if (!Parsed)
-    co_return adminError(400, "malformed", "expected a SHA-256 hash");
+    co_return tl::unexpected<std::error_code>(Parsed.error());
   const auto Report = co_await this->State.Control.withdraw(*Parsed);
   if (!Report)
-    co_return adminError(503, "limit_reached", Report.error().message());
+    co_return tl::unexpected<std::error_code>(Report.error());
   logEvent(Event::KeyWithdrawn, {{"hash", Hash.substr(0, 12)}});
-  const json Body = {{"id", StorelessPrefix + Hash},
-                     {"state", Report->InForce ? "finished" : "running"},
-                     {"withdrawal", reportJson(*Report)}};
-  co_return AdminReply{200, Body.dump()};
+  co_return Outcome<void>();
 }
 
-asio::awaitable<AdminReply>
-OperatorService::proposeWithdrawal(std::string Operator, std::string Hash) {
+AdminReply OperatorService::proposeStoreless(Intent Wish) {
+  const auto *Loss = std::get_if<DeclareLost>(&Wish);
+  const MemberTable &Members = this->State.Control.members();
+  if (Loss && !Members.find(Loss->Instance))
+    return adminError(404, "not_found", "no instance of this name is known");
+  if (Loss && Loss->Instance == Members.self().Name)
+    return adminError(409, "conflict", "the instance answers this call");
+  json Changes = {"The key is withdrawn through the instances; the store is "
+                  "unavailable and gets the withdrawal later."};
+  json Caps = {"Only this instance knows this plan; confirm it here."};
+  if (Loss) {
+    Changes = {"Nobody waits for instance " + Loss->Instance +
+               " any more; the store is unavailable and gets this later."};
+    Caps.push_back("Only for a process that certainly no longer runs: the "
+                   "guarantee for withdrawn keys rests on it.");
+  }
   const std::string Id = StorelessPrefix + randomToken().substr(0, 12);
-  this->StorelessWithdrawals[Id] = Hash;
+  this->StorelessPlans[Id] = {std::move(Wish)};
   const json Body = {
-      {"id", Id},
-      {"state", "proposed"},
-      {"changes",
-       {"The key is withdrawn through the instances; the store is "
-        "unavailable and gets the withdrawal later."}},
-      {"caps", {"Only this instance knows this plan; confirm it here."}}};
-  co_return AdminReply{201, Body.dump()};
+      {"id", Id}, {"state", "proposed"}, {"changes", Changes}, {"caps", Caps}};
+  return {201, Body.dump()};
+}
+
+asio::awaitable<AdminReply>
+OperatorService::confirmStoreless(std::string Operator, std::string Plan) {
+  StorelessPlan &Current = this->StorelessPlans.at(Plan);
+  if (const auto *Withdrawal = std::get_if<WithdrawKey>(&Current.Wish)) {
+    const auto Taken = co_await this->withdraw(Withdrawal->KeyHash);
+    if (!Taken && Taken.error() == Errc::LimitReached)
+      co_return adminError(503, "limit_reached", Taken.error().message());
+    if (!Taken)
+      co_return refusal(Taken.error(), {}, std::nullopt);
+  } else {
+    this->Work.declareLost(std::get<DeclareLost>(Current.Wish).Instance);
+  }
+  Current.Confirmed = true;
+  logEvent(Event::PlanConfirmed, {{"plan", Plan}, {"operator", Operator}});
+  co_return this->showStoreless(Plan);
+}
+
+AdminReply OperatorService::showStoreless(const std::string &Plan) {
+  const StorelessPlan &Current = this->StorelessPlans.at(Plan);
+  json Body = {{"id", Plan}, {"state", "proposed"}, {"result", ""}};
+  if (!Current.Confirmed)
+    return {200, Body.dump()};
+  Body["state"] = "finished";
+  const auto *Withdrawal = std::get_if<WithdrawKey>(&Current.Wish);
+  if (!Withdrawal) {
+    Body["result"] = "Instance " +
+                     std::get<DeclareLost>(Current.Wish).Instance +
+                     " is declared lost.";
+    return {200, Body.dump()};
+  }
+  const auto Hash = parseKeyHash(Withdrawal->KeyHash);
+  const auto Report = this->State.Control.withdrawalReport(*Hash);
+  Body["result"] = "The key is withdrawn at all instances.";
+  // Reports of withdrawals that are in force and durable are forgotten.
+  if (Report) {
+    Body["withdrawal"] = reportJson(*Report);
+    if (!Report->InForce) {
+      Body["state"] = "running";
+      Body["result"] = "";
+    } else if (!Report->Durable) {
+      Body["result"] = "The key is withdrawn at all instances; the store does "
+                       "not have the withdrawal yet.";
+    }
+  }
+  return {200, Body.dump()};
 }
 
 asio::awaitable<AdminReply> OperatorService::propose(std::string Operator,
@@ -197,12 +235,13 @@
     co_return refusal(Wish.error(), Problems, std::nullopt);
   const PlanAnswer Answer =
       co_await this->Work.plans().propose(*Wish, Operator);
-  const auto *Withdrawal = std::get_if<WithdrawKey>(&*Wish);
+  const bool WorksWithoutStore = std::holds_alternative<WithdrawKey>(*Wish) ||
+                                 std::holds_alternative<DeclareLost>(*Wish);
   const bool NoStore = Answer.Error == Errc::Unavailable ||
                        Answer.Error == Errc::Unknown ||
                        Answer.Error == Errc::Timeout;
-  if (Withdrawal && NoStore)
-    co_return co_await this->proposeWithdrawal(Operator, Withdrawal->KeyHash);
+  if (WorksWithoutStore && NoStore)
+    co_return this->proposeStoreless(*Wish);
   if (!Answer.Error)
     logEvent(Event::PlanProposed,
              {{"plan", Answer.Current->Id}, {"operator", Operator}});
@@ -211,13 +250,15 @@
 
 asio::awaitable<AdminReply> OperatorService::confirm(std::string Operator,
                                                      std::string Plan) {
-  const auto Storeless = this->StorelessWithdrawals.find(Plan);
-  if (Storeless != this->StorelessWithdrawals.end())
-    co_return co_await this->withdraw(Storeless->second);
+  if (this->StorelessPlans.contains(Plan))
+    co_return co_await this->confirmStoreless(Operator, Plan);
   const PlanAnswer Answer = co_await this->Work.plans().confirm(Plan, Operator);
   if (Answer.Error)
     co_return replyOf(Answer, 200);
   logEvent(Event::PlanConfirmed, {{"plan", Plan}, {"operator", Operator}});
+  if (const auto *Key = std::get_if<IssueKey>(&Answer.Current->Wish))
+    logEvent(Event::KeyIssued, {{"hash", Key->KeyHash.substr(0, 12)},
+                                {"workspace", Key->Workspace}});
   const auto *Withdrawal = std::get_if<WithdrawKey>(&Answer.Current->Wish);
   // The row is written; this tells the instances without waiting for them to
   // read it, and follows who has confirmed.
@@ -234,9 +275,8 @@
 }
 
 asio::awaitable<AdminReply> OperatorService::show(std::string Plan) {
-  const auto Storeless = this->StorelessWithdrawals.find(Plan);
-  if (Storeless != this->StorelessWithdrawals.end())
-    co_return this->keyReport(Storeless->second);
+  if (this->StorelessPlans.contains(Plan))
+    co_return this->showStoreless(Plan);
   const auto Found = co_await this->Work.plans().read(Plan);
   if (!Found)
     co_return refusal(Found.error(), {}, std::nullopt);
