Give audit entries of one moment different keys

Change: twelve random hexadecimal characters after the time; the bench measures one deployment when asked to. Conclusion: the key still sorts by time.

--- a/src/bench/RolloutBench.cpp
+++ b/src/bench/RolloutBench.cpp
@@ -32,6 +32,15 @@
     {"B", 240, 312ms},
 };
 
+/// The deployment of this name, or all when it is empty.
+std::vector<Deployment> chosen(const std::string &Only) {
+  std::vector<Deployment> Result;
+  for (const Deployment &Item : Deployments)
+    if (Only.empty() || Only == Item.Name)
+      Result.push_back(Item);
+  return Result;
+}
+
 struct Kind {
   const char *Name;
   bool Bad;
@@ -226,7 +235,7 @@
   std::fflush(stdout);
 }
 
-void measureRollouts(std::uint64_t Seeds) {
+void measureRollouts(std::uint64_t Seeds, const std::string &Only) {
   std::printf("rollouts of %lld s, %llu seeds; stop: seconds from the first "
               "fault to the last faulty request\n",
               static_cast<long long>(Length.count()),
@@ -234,7 +243,7 @@
   std::printf("%-2s %-10s %-14s %10s %9s %9s %9s %11s %11s\n", "", "rule",
               "version", "taken back", "on time", "stop p50", "stop max",
               "faulty p50", "faulty max");
-  for (const Deployment &Fleet : Deployments)
+  for (const Deployment &Fleet : chosen(Only))
     for (const Kind &Version : Kinds) {
       std::vector<Result> Own;
       std::vector<Result> Threshold;
@@ -252,10 +261,10 @@
 
 /// More seeds for the share of good versions that are taken back, which is
 /// too small to show on a few.
-void measureGoodVersions(std::uint64_t Seeds) {
+void measureGoodVersions(std::uint64_t Seeds, const std::string &Only) {
   std::printf("good versions alone, %llu seeds\n",
               static_cast<unsigned long long>(Seeds));
-  for (const Deployment &Fleet : Deployments) {
+  for (const Deployment &Fleet : chosen(Only)) {
     std::vector<Result> Own;
     for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed)
       Own.push_back(runOwn(Fleet, Kinds.front(), 1000 + Seed));
@@ -337,11 +346,12 @@
 int runRolloutBench(const std::vector<std::string> &Arguments) {
   const std::uint64_t Seeds =
       Arguments.empty() ? 40 : std::strtoull(Arguments[0].c_str(), nullptr, 10);
-  if (Seeds == 0) {
-    std::fprintf(stderr, "usage: rollout-bench [SEEDS]\n");
+  const std::string Only = Arguments.size() < 2 ? "" : Arguments[1];
+  if (Seeds == 0 || chosen(Only).empty()) {
+    std::fprintf(stderr, "usage: rollout-bench [SEEDS [A|B]]\n");
     return 2;
   }
-  for (const Deployment &Fleet : Deployments) {
+  for (const Deployment &Fleet : chosen(Only)) {
     measureShift(Fleet, 5, 600s, false);
     measureShift(Fleet, 10, 600s, false);
     measureShift(Fleet, 5, 30s, false);
@@ -350,8 +360,8 @@
     measureDrain(Fleet, 100ms);
     measureDrain(Fleet, 5s);
   }
-  measureRollouts(Seeds);
-  measureGoodVersions(5 * Seeds);
+  measureRollouts(Seeds, Only);
+  measureGoodVersions(5 * Seeds, Only);
   return 0;
 }
 
--- a/src/features/plans/PlanRows.cpp
+++ b/src/features/plans/PlanRows.cpp
@@ -60,9 +60,10 @@
 std::string newAuditKey(WallTime Now) {
   const auto Time = std::chrono::duration_cast<std::chrono::microseconds>(
       Now.time_since_epoch());
-  // Operators who write in the same microsecond get different numbers.
-  const auto Low = static_cast<std::int64_t>(randomSeed() % 1000);
-  return "audit/" + padded(Time.count() * 1000 + Low, 20);
+  // A number from the time and three random digits gave two writes of the same
+  // microsecond one key in 1 of 1,000 cases, and the second was refused.
+  return "audit/" + padded(Time.count(), 16) + "-" +
+         randomToken().substr(0, 12);
 }
 
 std::string documentName(const std::string &Hash) {
--- a/src/features/plans/tst_PlanStore.cpp
+++ b/src/features/plans/tst_PlanStore.cpp
@@ -5,6 +5,7 @@
 #include "model/FleetConfigJson.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 using namespace rr;
 using namespace std::chrono_literals;
@@ -79,6 +80,17 @@
   CHECK_FALSE(parsePlan("["));
 }
 
+// Guards against two writes of one moment that get the same audit entry, so
+// that the second is refused for no reason.
+TEST_CASE("Audit entries of one moment have different keys") {
+  const WallTime Now{1'800'000'000s};
+  std::set<std::string> Keys;
+  for (int I = 0; I < 2000; ++I)
+    Keys.insert(newAuditKey(Now));
+  CHECK(Keys.size() == 2000);
+  CHECK(*Keys.rbegin() < newAuditKey(Now + 1ms));
+}
+
 // Guards against a change that happens before the operator has confirmed it.
 TEST_CASE("A proposal changes nothing") {
   PlanWorld World;
