Stop versions on the evidence of several instances; clear the linter's findings

Cause: the counts that instances report to each other were not judged together at the instances, so that a stop on shared evidence needed the lease holder. The linter found two initialisers without the new member of VersionSplit. Change: ReportExchange gives reported counts to the version guard; a stop found this way is announced like an own one. Conclusion: a bad version stops on shared evidence while the store is down.

--- a/src/bench/DecisionBench.cpp
+++ b/src/bench/DecisionBench.cpp
@@ -38,7 +38,8 @@
            "service" + std::to_string(I % Services), "1",
            Config.Zones[Site % Zones].Name, "", 3, 400, false});
   for (int I = 0; I < Services; ++I)
-    Config.Splits.push_back({"service" + std::to_string(I), "1", "2", 0.05});
+    Config.Splits.push_back(
+        {"service" + std::to_string(I), "1", "2", 0.05, ""});
   for (int I = 0; I < Instances; ++I) {
     const Zone &Home = Config.Zones[I % Zones];
     Result.Members.push_back({"i" + std::to_string(I), Home.Name, Home.Region});
--- a/src/features/instance/Dispatcher.cpp
+++ b/src/features/instance/Dispatcher.cpp
@@ -366,14 +366,17 @@
   const auto Stop = this->State.Routing.Guard.record(
       Request.Service, Request.Route, Result.Version, isServerFault(Result),
       Now - Started, Now);
-  if (!Stop)
-    return;
-  logEvent(Event::VersionStopped, {{"service", Stop->Service},
-                                   {"version", Stop->Version},
-                                   {"reason", Stop->Reason}});
-  this->State.Routing.Routes->versions().stopVersion(Stop->Service,
-                                                     Stop->Version);
-  this->publish("versionStop", encodeVersionStop(*Stop));
+  if (Stop)
+    this->stopVersion(*Stop);
+}
+
+void Dispatcher::stopVersion(const VersionStop &Stop) {
+  logEvent(Event::VersionStopped, {{"service", Stop.Service},
+                                   {"version", Stop.Version},
+                                   {"reason", Stop.Reason}});
+  this->State.Routing.Routes->versions().stopVersion(Stop.Service,
+                                                     Stop.Version);
+  this->publish("versionStop", encodeVersionStop(Stop));
 }
 
 asio::awaitable<void> Dispatcher::reviewCrash(DispatchRequest Request,
--- a/src/features/instance/Dispatcher.h
+++ b/src/features/instance/Dispatcher.h
@@ -43,6 +43,8 @@
 
   /// Tells all linked instances.
   void publish(const std::string &Method, const nlohmann::json &Body);
+  /// Stops a version here and tells the others.
+  void stopVersion(const VersionStop &Stop);
   /// Takes over the stop of a version by another instance.
   void onVersionStop(const nlohmann::json &Body);
   void onSuspect(const nlohmann::json &Body);
--- a/src/features/instance/InstanceCore.cpp
+++ b/src/features/instance/InstanceCore.cpp
@@ -77,6 +77,8 @@
   for (const PeerSeed &Seed : this->Options.Seeds)
     SeedNames.push_back(Seed.Name);
   this->State.Control.setSeeds(std::move(SeedNames));
+  this->Reports.onStop(
+      [this](const VersionStop &Stop) { this->Dispatch.stopVersion(Stop); });
   this->State.Control.onShares(
       [this](std::uint64_t Epoch, std::string Peer) -> asio::awaitable<void> {
         if (Peer.empty()) {
--- a/src/features/instance/ReportExchange.cpp
+++ b/src/features/instance/ReportExchange.cpp
@@ -83,6 +83,10 @@
   if (!this->State.Routing.Routes ||
       Name == this->State.Control.members().self().Name)
     return;
+  for (const auto &[Service, Stats] : Known.Versions)
+    if (const auto Stop = this->State.Routing.Guard.observe(
+            Service, Name, Stats, Known.MadeAt))
+      this->OnStop(*Stop);
   for (const ServiceHeadroom &Item : Known.Headroom)
     this->State.Routing.Routes->peers().report(Name, Item, Now - Known.MadeAt,
                                                Now);
--- a/src/features/instance/ReportExchange.h
+++ b/src/features/instance/ReportExchange.h
@@ -3,6 +3,7 @@
 
 #include "instance/InstanceReport.h"
 #include "instance/PeerNetwork.h"
+#include "rollout/VersionStop.h"
 #include "routing/SpillGrantor.h"
 
 #include <map>
@@ -22,6 +23,12 @@
   ReportExchange(InstanceState &State, const PeerNetwork &Network,
                  Admission &Limits, asio::any_io_executor Executor);
 
+  /// Registers what happens when the counts of several instances together
+  /// show that a version is bad. To be called before run().
+  void onStop(std::function<void(const VersionStop &)> Handler) {
+    this->OnStop = std::move(Handler);
+  }
+
   asio::awaitable<void> run();
   void stop() { this->Stopping = true; }
 
@@ -57,6 +64,7 @@
   const PeerNetwork &Network;
   Admission &Limits;
   asio::any_io_executor Executor;
+  std::function<void(const VersionStop &)> OnStop;
   std::map<std::string, InstanceReport> Reports;
   std::map<std::string, Overflow> Shifted;
   std::unique_ptr<SpillGrantor> Grantor;
--- a/src/features/routing/tst_Router.cpp
+++ b/src/features/routing/tst_Router.cpp
@@ -143,7 +143,7 @@
 // it, and against requests that are lost when it has none.
 TEST_CASE("A canary gets its share while it has room") {
   Fixture Fix;
-  Fix.Config.Splits = {{"stock", "1", "2", 0.25}};
+  Fix.Config.Splits = {{"stock", "1", "2", 0.25, ""}};
   Fix.Config.Servers[0].Version = "2";
   Fix.configure({{"x", "a1", "a"}});
   int Canary = 0;
