--- a/src/features/forwarding/RequestPipeline.cpp
+++ b/src/features/forwarding/RequestPipeline.cpp
@@ -182,6 +182,7 @@
   const std::string Query = queryForServer(Scrubber, Request.Query, Key);
 
   if (!Taken->Open) {
+    SpanScope Admission(this->Spans, "admission", &Span.context());
     const auto Admitted = co_await this->Services.Admit(Workspace, Deadline);
     if (!Admitted)
       co_return Refuse(admissionRefusal(Admitted.error()));
--- a/src/features/instance/Dispatcher.cpp
+++ b/src/features/instance/Dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "instance/Dispatcher.h"
 
+#include "instance/DispatchJob.h"
+#include "instance/DispatchOutcome.h"
 #include "instance/ForwardJson.h"
 #include "instance/InstanceState.h"
 #include "instance/LinkKeeper.h"
@@ -9,8 +11,6 @@
 #include "telemetry/Metrics.h"
 #include "telemetry/SpanExporter.h"
 
-#include <asio/co_spawn.hpp>
-#include <asio/detached.hpp>
 #include <utility>
 
 namespace rr {
@@ -21,136 +21,35 @@
 
 // Owners that are asked before the request waits in the queue.
 constexpr int MostPlacements = 6;
-constexpr std::chrono::seconds ShortRetryAfter{1};
-constexpr const char *NoSlot = "no_slot";
 // Longest time that an answer is held back until the other instances know of
 // a crash: a few round trips between regions.
 constexpr std::chrono::milliseconds PublishTimeout{200};
 
-DispatchResult notRun(const std::string &Reason) {
-  DispatchResult Result;
-  Result.Outcome = Execution::NotRun;
-  Result.Reason = Reason;
-  Result.RetryAfter = ShortRetryAfter;
-  return Result;
-}
-
-DispatchResult unknown(const std::string &Reason) {
-  DispatchResult Result;
-  Result.Outcome = Execution::Unknown;
-  Result.Reason = Reason;
-  return Result;
-}
-
-// Errors of a call that show that the peer did not run it.
-bool showsNotRun(const std::error_code &Error) {
-  return Error == Errc::Unavailable || Error == Errc::LimitReached ||
-         Error == Errc::TooLarge || Error == Errc::Malformed ||
-         Error == Errc::NotFound || Error == Errc::ConnectionRefused;
-}
-
-bool isServerFault(const DispatchResult &Result) {
-  return !Result.Answered || Result.Status >= 500;
-}
-
-// Nothing has left for a server in these cases, so that asking another one is
-// no retry and needs no budget.
-bool mayPlaceAgain(const DispatchResult &Result) {
-  return Result.Outcome == Execution::NotRun &&
-         (Result.Reason == NoSlot || Result.Reason == "server_unreachable");
-}
-
-RequestOutcome outcomeOf(const DispatchResult &Result) {
-  if (Result.Reason == "cancelled")
-    return RequestOutcome::Abandoned;
-  return isServerFault(Result) ? RequestOutcome::Failure
-                               : RequestOutcome::Success;
-}
-
 } // namespace
 
-/// Instances that have not confirmed a message yet.
-struct Dispatcher::Acknowledgements {
-  explicit Acknowledgements(const asio::any_io_executor &Executor)
-      : Done(Executor) {}
-
-  OneShotEvent Done;
-  std::size_t Missing = 0;
-};
-
-/// A request on its way through this instance.
-struct Dispatcher::Job {
-  DispatchRequest Request;
-  /// Chosen by the entry instance; empty at entry.
-  std::string Version;
-  bool Forwarded = false;
-  bool Spilled = false;
-  /// The single run of a suspect request belongs to this job.
-  bool HoldsTrial = false;
-  RouteRequest Route;
-
-  void prepareRoute() {
-    this->Route.Workspace = this->Request.Workspace;
-    this->Route.Service = this->Request.Service;
-    this->Route.Version = this->Version;
-    this->Route.Bytes = static_cast<double>(this->Request.Body.size() +
-                                            this->Request.Target.size());
-    this->Route.Deadline = this->Request.Deadline;
-    this->Route.MayRetry = this->Request.MayRetry;
-    this->Route.Forwarded = this->Forwarded;
-    this->Route.Spilled = this->Spilled;
-  }
-};
-
 Dispatcher::Dispatcher(InstanceState &State, const PeerNetwork &Network,
                        const BackendNetwork &Servers, LinkKeeper &Links,
                        CrashGuard &Guard, asio::any_io_executor Executor,
                        Metrics &Counters, SpanExporter *Spans)
     : State(State), Network(Network), Servers(Servers), Links(Links),
-      Guard(Guard), Executor(std::move(Executor)), Counters(Counters),
-      Spans(Spans) {}
+      Guard(Guard), Executor(Executor), Peers(State, Network, Executor),
+      Counters(Counters), Spans(Spans) {}
 
 void Dispatcher::publish(const std::string &Method, const json &Body) {
-  const std::string &Self = this->State.Control.members().self().Name;
-  for (const MemberEntry *Entry : this->State.Control.members().counted())
-    if (Entry->Record.Name != Self &&
-        this->Network.IsLinked(Entry->Record.Name))
-      this->Network.Send(Entry->Record.Name, Method, Body);
-}
-
-asio::awaitable<void> Dispatcher::tell(std::string Peer, std::string Method,
-                                       json Body,
-                                       std::shared_ptr<Acknowledgements> Open) {
-  const Clock::time_point Deadline = Clock::now() + PublishTimeout;
-  co_await this->Network.Call(std::move(Peer), std::move(Method),
-                              std::move(Body), Deadline, nullptr);
-  if (--Open->Missing == 0)
-    Open->Done.set();
+  this->Peers.publish(Method, Body);
 }
 
 // The caller may send the request again as soon as it has its answer, through
 // any instance, so that all must know of the crash by then.
 asio::awaitable<void>
 Dispatcher::publishSuspects(std::vector<SuspectMessage> News) {
-  auto Open = std::make_shared<Acknowledgements>(this->Executor);
-  const std::string &Self = this->State.Control.members().self().Name;
+  std::vector<json> Bodies;
   for (const SuspectMessage &Item : News) {
     logEvent(Event::RequestSuspect, {{"fingerprint", Item.Fingerprint}});
-    if (this->Guard.check(Item.Fingerprint, Clock::now()) ==
-        CrashGuard::Verdict::Blocked)
-      logEvent(Event::RequestBlocked, {{"fingerprint", Item.Fingerprint}});
-    const json Body = encodeSuspect(Item, Clock::now());
-    for (const MemberEntry *Entry : liveMembers(this->State, Clock::now())) {
-      if (Entry->Record.Name == Self)
-        continue;
-      ++Open->Missing;
-      asio::co_spawn(this->Executor,
-                     this->tell(Entry->Record.Name, "suspect", Body, Open),
-                     asio::detached);
-    }
+    Bodies.push_back(encodeSuspect(Item, Clock::now()));
   }
-  if (Open->Missing > 0)
-    co_await Open->Done.waitUntil(Clock::now() + PublishTimeout);
+  co_await this->Peers.publishAcknowledged("suspect", std::move(Bodies),
+                                           PublishTimeout);
 }
 
 void Dispatcher::onSuspect(const json &Body) {
@@ -212,7 +111,7 @@
 }
 
 asio::awaitable<DispatchResult> Dispatcher::dispatch(DispatchRequest Request) {
-  auto Work = std::make_shared<Job>();
+  auto Work = std::make_shared<DispatchJob>();
   Work->Request = std::move(Request);
   const std::string &Fingerprint = Work->Request.Fingerprint;
   const auto Verdict = this->Guard.check(Fingerprint, Clock::now());
@@ -232,7 +131,8 @@
 }
 
 asio::awaitable<DispatchResult>
-Dispatcher::runAtTrialOwner(std::shared_ptr<Job> Work, std::string Owner) {
+Dispatcher::runAtTrialOwner(std::shared_ptr<DispatchJob> Work,
+                            std::string Owner) {
   if (Owner != this->State.Control.members().self().Name) {
     this->Links.keep(Owner);
     ForwardedRequest Message;
@@ -263,7 +163,7 @@
   const auto Received = decodeForward(Body);
   if (!Received)
     co_return failure(Errc::Malformed);
-  auto Work = std::make_shared<Job>();
+  auto Work = std::make_shared<DispatchJob>();
   Work->Request = Received->Request;
   Work->Request.Deadline = Deadline;
   Work->Request.Cancel = std::move(Cancel);
@@ -273,7 +173,8 @@
 }
 
 asio::awaitable<Outcome<RouteDecision>>
-Dispatcher::decide(std::shared_ptr<Job> Work) {
+Dispatcher::decide(std::shared_ptr<DispatchJob> Work) {
+  SpanScope Span(this->Spans, "decision", &Work->Request.Trace);
   RequestQueue &Queue = this->queueOf(Work->Request.Service);
   Work->Route.Queued = static_cast<std::uint32_t>(Queue.size());
   // A request does not pass those that wait already.
@@ -298,7 +199,8 @@
   co_return Outcome<RouteDecision>(std::move(Entry->Decision));
 }
 
-asio::awaitable<DispatchResult> Dispatcher::run(std::shared_ptr<Job> Work) {
+asio::awaitable<DispatchResult>
+Dispatcher::run(std::shared_ptr<DispatchJob> Work) {
   Work->prepareRoute();
   for (int Placement = 0; Placement < MostPlacements; ++Placement) {
     if (!this->State.Routing.Routes)
@@ -322,8 +224,8 @@
   co_return notRun("overloaded");
 }
 
-asio::awaitable<DispatchResult> Dispatcher::runLocal(std::shared_ptr<Job> Work,
-                                                     SlotLease Slot) {
+asio::awaitable<DispatchResult>
+Dispatcher::runLocal(std::shared_ptr<DispatchJob> Work, SlotLease Slot) {
   const BackendServer Server = Slot.server().Config;
   const std::string Fingerprint = Work->Request.Fingerprint;
   const Clock::time_point Started = Clock::now();
@@ -394,10 +296,9 @@
     co_await this->publishSuspects(std::move(News));
 }
 
-asio::awaitable<DispatchResult> Dispatcher::callOwner(std::shared_ptr<Job> Work,
-                                                      std::string Peer,
-                                                      std::string Version,
-                                                      bool Spilled) {
+asio::awaitable<DispatchResult>
+Dispatcher::callOwner(std::shared_ptr<DispatchJob> Work, std::string Peer,
+                      std::string Version, bool Spilled) {
   SpanScope Span(this->Spans, Spilled ? "spill" : "forward",
                  &Work->Request.Trace);
   Span.set("peer", Peer);
@@ -425,7 +326,7 @@
 }
 
 asio::awaitable<DispatchResult>
-Dispatcher::runForward(std::shared_ptr<Job> Work, ForwardLease Peer,
+Dispatcher::runForward(std::shared_ptr<DispatchJob> Work, ForwardLease Peer,
                        std::string Version) {
   const std::string Owner = Peer.instance();
   DispatchResult Result =
@@ -448,8 +349,8 @@
   return Names[Pick(this->State.Routing.Random)];
 }
 
-asio::awaitable<DispatchResult> Dispatcher::runSpill(std::shared_ptr<Job> Work,
-                                                     std::string Region) {
+asio::awaitable<DispatchResult>
+Dispatcher::runSpill(std::shared_ptr<DispatchJob> Work, std::string Region) {
   const std::string Peer = this->liveInstanceIn(Region);
   if (Peer.empty())
     co_return notRun(NoSlot);
@@ -462,7 +363,7 @@
   const auto Received = decodeForward(Body);
   if (!Received)
     co_return failure(Errc::Malformed);
-  auto Work = std::make_shared<Job>();
+  auto Work = std::make_shared<DispatchJob>();
   Work->Request = Received->Request;
   Work->Request.Deadline = Deadline;
   Work->Request.MayRetry = Received->MayRetry;
--- a/src/features/instance/Dispatcher.h
+++ b/src/features/instance/Dispatcher.h
@@ -3,6 +3,7 @@
 
 #include "instance/BackendNetwork.h"
 #include "instance/PeerNetwork.h"
+#include "instance/PeerPublisher.h"
 #include "instance/RequestQueue.h"
 #include "quarantine/CrashGuard.h"
 #include "rollout/VersionStop.h"
@@ -13,6 +14,7 @@
 
 namespace rr {
 
+struct DispatchJob;
 class LinkKeeper;
 class Metrics;
 class SpanExporter;
@@ -53,22 +55,21 @@
   std::size_t queued() const;
 
 private:
-  struct Job;
-  struct Acknowledgements;
-
-  asio::awaitable<DispatchResult> run(std::shared_ptr<Job> Work);
-  asio::awaitable<Outcome<RouteDecision>> decide(std::shared_ptr<Job> Work);
-  asio::awaitable<DispatchResult> runLocal(std::shared_ptr<Job> Work,
+  asio::awaitable<DispatchResult> run(std::shared_ptr<DispatchJob> Work);
+  asio::awaitable<Outcome<RouteDecision>>
+  decide(std::shared_ptr<DispatchJob> Work);
+  asio::awaitable<DispatchResult> runLocal(std::shared_ptr<DispatchJob> Work,
                                            SlotLease Slot);
-  asio::awaitable<DispatchResult>
-  runForward(std::shared_ptr<Job> Work, ForwardLease Peer, std::string Version);
-  asio::awaitable<DispatchResult> runSpill(std::shared_ptr<Job> Work,
+  asio::awaitable<DispatchResult> runForward(std::shared_ptr<DispatchJob> Work,
+                                             ForwardLease Peer,
+                                             std::string Version);
+  asio::awaitable<DispatchResult> runSpill(std::shared_ptr<DispatchJob> Work,
                                            std::string Region);
-  asio::awaitable<DispatchResult> callOwner(std::shared_ptr<Job> Work,
+  asio::awaitable<DispatchResult> callOwner(std::shared_ptr<DispatchJob> Work,
                                             std::string Peer,
                                             std::string Version, bool Spilled);
-  asio::awaitable<DispatchResult> runAtTrialOwner(std::shared_ptr<Job> Work,
-                                                  std::string Owner);
+  asio::awaitable<DispatchResult>
+  runAtTrialOwner(std::shared_ptr<DispatchJob> Work, std::string Owner);
   asio::awaitable<void> reviewCrash(DispatchRequest Request,
                                     BackendServer Server,
                                     Clock::time_point Started);
@@ -79,9 +80,6 @@
                   Clock::time_point Started);
   std::string trialOwnerOf(const std::string &Fingerprint);
   asio::awaitable<void> publishSuspects(std::vector<SuspectMessage> News);
-  asio::awaitable<void> tell(std::string Peer, std::string Method,
-                             nlohmann::json Body,
-                             std::shared_ptr<Acknowledgements> Open);
 
   InstanceState &State;
   const PeerNetwork &Network;
@@ -89,6 +87,7 @@
   LinkKeeper &Links;
   CrashGuard &Guard;
   asio::any_io_executor Executor;
+  PeerPublisher Peers;
   Metrics &Counters;
   SpanExporter *Spans;
   std::map<std::string, std::unique_ptr<RequestQueue>> Queues;
--- a/src/features/instance/InstanceCore.cpp
+++ b/src/features/instance/InstanceCore.cpp
@@ -51,7 +51,7 @@
                            PeerNetwork Network, BackendNetwork Servers,
                            Metrics &Counters, SpanExporter *Spans)
     : Executor(Executor), Options(std::move(Options)),
-      Store(countStoreCalls(std::move(Store), Counters)),
+      Store(countStoreCalls(std::move(Store), Counters, Spans)),
       Network(std::move(Network)), Servers(std::move(Servers)),
       Counters(Counters), Spans(Spans),
       State(
@@ -220,56 +220,6 @@
   this->Dispatch.publish("controlHint", json::object());
 }
 
-void InstanceCore::noteEjections() {
-  if (!this->State.Routing.Routes)
-    return;
-  std::set<std::string> Now;
-  for (const ServerPtr &Item : this->State.Routing.Routes->servers().all())
-    if (Item->Owned && Item->Health.health() == Ejection::Health::Ejected)
-      Now.insert(Item->Config.Name);
-  for (const std::string &Name : Now)
-    if (!this->Ejected.contains(Name))
-      logEvent(Event::ServerEjected, {{"server", Name}});
-  for (const std::string &Name : this->Ejected) {
-    const ServerPtr Server = this->State.Routing.Routes->servers().find(Name);
-    // A server that went to another owner has not returned.
-    if (!Now.contains(Name) && Server && Server->Owned)
-      logEvent(Event::ServerReturned, {{"server", Name}});
-  }
-  this->Ejected = std::move(Now);
-}
-
-void InstanceCore::updateMetrics(Clock::time_point Now) {
-  const auto Set = [&](Metric Which, double Value) {
-    this->Counters.set(Which, {}, Value);
-  };
-  Set(Metric::ConfigurationVersion,
-      static_cast<double>(this->State.Control.config().version()));
-  Set(Metric::KeySetVersion,
-      static_cast<double>(this->State.Control.keys().version()));
-  Set(Metric::Fresh, this->WasFresh ? 1 : 0);
-  Set(Metric::Running, static_cast<double>(this->Running));
-  std::map<MemberState, int> Members;
-  for (const auto &[Name, Entry] : this->State.Control.members().entries())
-    ++Members[Entry.Record.State];
-  for (const MemberState State :
-       {MemberState::Live, MemberState::Leaving, MemberState::Left,
-        MemberState::Ended, MemberState::Lost})
-    this->Counters.set(Metric::Members, {{"state", nameOf(State)}},
-                       Members[State]);
-  if (const auto Config = configOf(this->State))
-    for (const Workspace &Item : Config->Workspaces)
-      this->Counters.set(
-          Metric::ShareRate, {{"workspace", Item.Name}},
-          toRequests(this->State.Shares.held(Item.Name, Now).Rate));
-  if (this->Spans && this->Spans->dropped() != this->SpansDropped) {
-    const std::uint64_t Dropped = this->Spans->dropped();
-    this->Counters.add(Metric::SpansDropped, {},
-                       static_cast<double>(Dropped - this->SpansDropped));
-    this->SpansDropped = Dropped;
-  }
-}
-
 KeyDecision InstanceCore::authenticate(const std::string &Key) {
   const Freshness Proof{Clock::now(), this->State.Control.validUntil()};
   const Authentication Result =
@@ -327,6 +277,9 @@
 asio::awaitable<HttpResponse>
 InstanceCore::handleCaller(HttpServerRequest Request) {
   if (Request.Path == LookupPath) {
+    const std::string *TraceParent = findHeader(Request.Headers, "traceparent");
+    const auto Caller = parseTraceParent(TraceParent ? *TraceParent : "");
+    SpanScope Span(this->Spans, "look-up", Caller ? &*Caller : nullptr);
     this->Counters.add(Metric::Lookups);
     std::string Client = queryParameter(Request, "address");
     if (Client.empty())
--- a/src/features/instance/StoreCounter.h
+++ b/src/features/instance/StoreCounter.h
@@ -6,10 +6,12 @@
 namespace rr {
 
 class Metrics;
+class SpanExporter;
 
-/// The same services, with each call counted by its result. \p Counters
-/// outlives the result.
-Platform countStoreCalls(Platform Store, Metrics &Counters);
+/// The same services, with each call counted by its result and traced by a
+/// span of its own. Both outlive the result; \p Spans may be null.
+Platform countStoreCalls(Platform Store, Metrics &Counters,
+                         SpanExporter *Spans);
 
 } // namespace rr
 
--- a/tools/demo_run.py
+++ b/tools/demo_run.py
@@ -4,15 +4,8 @@
 import sys
 import time
 
-from fleet import Fleet, http
-
-ZONES = {"north-1": "north", "north-2": "north", "south-1": "south"}
-SERVICES = {
-    "stock": [("stock-1", "1", "north-1", 4), ("stock-2", "1", "north-2", 4), ("stock-3", "1", "south-1", 4)],
-    "ordering": [("ordering-1", "1", "north-1", 3), ("ordering-2", "1", "south-1", 3)],
-}
-ROUTES = [("stock", "stock", ["GET"], "/stock", False), ("ordering", "ordering", ["POST"], "/orders", False),
-          ("about", "stock", ["GET"], "/about", True)]
+from fleet import ROUTES, SERVICES, ZONES, Fleet, http
+
 KEY = "demo-caller-key-7f3a"
 failures = 0
 
@@ -32,17 +25,8 @@
 
 
 def show(fleet):
-    start = time.monotonic()
-    fleet.start_platform()
-    for name in fleet.servers:
-        fleet.start_server(name)
-    for name, zone in [("n1", "north-1"), ("n2", "north-2"), ("n3", "north-1"), ("s1", "south-1")]:
-        fleet.add_instance(name, zone)
-        fleet.start_instance(name)
-    fleet.wait("administration answers", lambda: all(fleet.status(name) for name in fleet.instances))
-    fleet.wait("all instances know each other",
-               lambda: all(fleet.status(name).get("live_instances") == 4 for name in fleet.instances))
-    print(f"     4 instances, 2 regions, 3 zones, 5 backend servers up after {time.monotonic() - start:.1f} s")
+    took = fleet.start_all()
+    print(f"     4 instances, 2 regions, 3 zones, 5 backend servers up after {took:.1f} s")
 
     plan = fleet.plan("load-config", fleet.fleet_file([("bakery", 200, 100), ("clinic", 50, 25)], ROUTES))
     check("a plan changes nothing before it is confirmed", fleet.status("n1")["configuration"] == 0, plan["state"])
--- a/tools/fault_run.py
+++ b/tools/fault_run.py
@@ -9,15 +9,8 @@
 import threading
 import time
 
-from fleet import Fleet
-
-ZONES = {"north-1": "north", "north-2": "north", "south-1": "south"}
-SERVICES = {
-    "stock": [("stock-1", "1", "north-1", 4), ("stock-2", "1", "north-2", 4), ("stock-3", "1", "south-1", 4)],
-    "ordering": [("ordering-1", "1", "north-1", 3), ("ordering-2", "1", "south-1", 3)],
-}
-ROUTES = [("stock", "stock", ["GET"], "/stock", False), ("ordering", "ordering", ["POST"], "/orders", False),
-          ("about", "stock", ["GET"], "/about", True)]
+from fleet import ROUTES, SERVICES, ZONES, Fleet
+
 KEY = "fault-run-key-91c2"
 failures = 0
 
@@ -84,14 +77,7 @@
 
 
 def bring_up(fleet):
-    fleet.start_platform()
-    for name in fleet.servers:
-        fleet.start_server(name)
-    for name, zone in [("n1", "north-1"), ("n2", "north-2"), ("n3", "north-1"), ("s1", "south-1")]:
-        fleet.add_instance(name, zone)
-        fleet.start_instance(name)
-    fleet.wait("all instances know each other",
-               lambda: all(fleet.status(name).get("live_instances") == 4 for name in fleet.instances))
+    fleet.start_all()
     fleet.carry_out("load-config", fleet.fleet_file([("bakery", 300, 150), ("clinic", 50, 25)], ROUTES))
     fleet.carry_out("issue-key", "bakery", f"--key={KEY}")
     fleet.wait("requests are served", lambda: all(serves(fleet, name) for name in fleet.instances), 60)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -18,6 +18,17 @@
 READ_TOKEN = "demo-reader-token"
 
 
+# The fleet that tools/demo and tools/faults start.
+ZONES = {"north-1": "north", "north-2": "north", "south-1": "south"}
+SERVICES = {
+    "stock": [("stock-1", "1", "north-1", 4), ("stock-2", "1", "north-2", 4), ("stock-3", "1", "south-1", 4)],
+    "ordering": [("ordering-1", "1", "north-1", 3), ("ordering-2", "1", "south-1", 3)],
+}
+ROUTES = [("stock", "stock", ["GET"], "/stock", False), ("ordering", "ordering", ["POST"], "/orders", False),
+          ("about", "stock", ["GET"], "/about", True)]
+INSTANCES = [("n1", "north-1"), ("n2", "north-2"), ("n3", "north-1"), ("s1", "south-1")]
+
+
 def http(method, url, body=None, headers=None, timeout=10.0):
     """Returns (status, body text, headers); status 0 when no answer came."""
     data = body.encode() if isinstance(body, str) else body
@@ -191,6 +202,19 @@
     def signal(self, name, number):
         self.processes[name].send_signal(number)
 
+    def start_all(self):
+        """Starts everything and waits until all instances know each other; returns the seconds that it took."""
+        start = time.monotonic()
+        self.start_platform()
+        for name in self.servers:
+            self.start_server(name)
+        for name, zone in INSTANCES:
+            self.add_instance(name, zone)
+            self.start_instance(name)
+        self.wait("all instances know each other",
+                  lambda: all(self.status(name).get("live_instances") == len(INSTANCES) for name in self.instances))
+        return time.monotonic() - start
+
     def stop(self):
         for process in self.processes.values():
             if process.poll() is None:
