Remove an expectation that no cell uses; read spill rates in one place

Cause: the fault matrix described an outcome ("later") that runCell() never checked, and asks and grants of spill credits read their rates by the same lines. Change: the enumerator and its letter are gone; readRates() serves both. Conclusion: no behaviour changed.

--- a/src/features/instance/SpillJson.cpp
+++ b/src/features/instance/SpillJson.cpp
@@ -23,18 +23,21 @@
   return Usable ? Found->get<double>() : 0;
 }
 
+// Reads the rates that asks and grants have in common.
+template <typename T> bool readRates(const json &Body, T &Target) {
+  bool Good = true;
+  Target.RequestsPerSecond = readRate(Body, "requests", Good);
+  Target.BytesPerSecond = readRate(Body, "bytes", Good);
+  return Good;
+}
+
 Outcome<SpillAsk> decodeAsk(const json &Body) {
   MessageReader Reader(Body);
   SpillAsk Result;
   Result.Zone = Reader.name("zone");
   Result.Region = Reader.name("region");
   Result.Service = Reader.name("service");
-  if (!Reader.isGood())
-    return failure(Errc::Malformed);
-  bool Good = true;
-  Result.RequestsPerSecond = readRate(Body, "requests", Good);
-  Result.BytesPerSecond = readRate(Body, "bytes", Good);
-  if (!Good)
+  if (!Reader.isGood() || !readRates(Body, Result))
     return failure(Errc::Malformed);
   return Result;
 }
@@ -87,12 +90,7 @@
   Result.Granter = Reader.name("granter");
   Result.Zone = Reader.name("zone");
   Result.Service = Reader.name("service");
-  if (!Reader.isGood())
-    return failure(Errc::Malformed);
-  bool Good = true;
-  Result.RequestsPerSecond = readRate(Body, "requests", Good);
-  Result.BytesPerSecond = readRate(Body, "bytes", Good);
-  if (!Good)
+  if (!Reader.isGood() || !readRates(Body, Result))
     return failure(Errc::Malformed);
   return Result;
 }
--- a/src/features/instance/tst_FaultMatrix.cpp
+++ b/src/features/instance/tst_FaultMatrix.cpp
@@ -21,9 +21,6 @@
   Refused,
   /// It succeeds, or is refused truthfully; which one depends on the moment.
   Either,
-  /// It is not said to have succeeded while the fault lasts, and comes to its
-  /// end afterwards.
-  Later,
   /// The fault does not touch the operation.
   NotApplicable,
 };
@@ -210,7 +207,7 @@
 };
 
 /// A letter a cell, in the order of Operations: D done, R refused, E either,
-/// L later, - not applicable.
+/// - not applicable.
 struct Row {
   const char *FaultName;
   const char *BeforeIt;
@@ -244,8 +241,6 @@
     return Expect::Refused;
   case 'E':
     return Expect::Either;
-  case 'L':
-    return Expect::Later;
   default:
     return Expect::NotApplicable;
   }
