--- a/src/features/gateway/TableWatch.cpp
+++ b/src/features/gateway/TableWatch.cpp
@@ -15,10 +15,12 @@
 asio::awaitable<bool> TableWatch::step() {
   const Clock::time_point Start = bootTime();
   const bool Full = !this->Loaded;
-  auto Read = Full ? co_await this->Store.ReadTable(this->Chosen.Table)
-                   : co_await this->Store.ReadChanges(this->Chosen.Table,
-                                                      this->Version,
-                                                      this->Chosen.Wait);
+  Outcome<TableRows> Read = failure(Errc::Unavailable);
+  if (Full)
+    Read = co_await this->Store.ReadTable(this->Chosen.Table);
+  else
+    Read = co_await this->Store.ReadChanges(this->Chosen.Table, this->Version,
+                                            this->Chosen.Wait);
   if (this->Stopped)
     co_return true;
   if (!Read && Read.error() == make_error_code(Errc::Stale)) {
