Test the HTTP library, the steering decisions, the gateway and the adapter

Change: tests on hand-written fakes: a scripted server, tables in memory, whole instances over loopback on a paused clock. Found by them: an answer without an id made its caller wait for another one until the time-out; it now counts as lost.

--- a/src/features/gateway/AttemptResult.cpp
+++ b/src/features/gateway/AttemptResult.cpp
@@ -22,7 +22,8 @@
   if (findHeader(Answer.Headers, Names.NotRun))
     return AttemptResult::NotRun;
   const bool Success = Answer.Status >= 200 && Answer.Status < 300;
-  if (Success && (!findHeader(Answer.Headers, Names.ServerStamp) ||
+  if (Success && (!findHeader(Answer.Headers, Names.RequestId) ||
+                  !findHeader(Answer.Headers, Names.ServerStamp) ||
                   findHeader(Answer.Headers, "Content-Encoding")))
     return AttemptResult::Failed;
   return AttemptResult::Answered;
--- /dev/null
+++ b/src/features/gateway/FakeTables.cpp
@@ -0,0 +1,102 @@
+#include "gateway/FakeTables.h"
+
+#include "base/Timer.h"
+
+namespace rr {
+
+namespace {
+
+constexpr Clock::duration PollPeriod = std::chrono::milliseconds(10);
+
+} // namespace
+
+TableStore FakeTables::tables() {
+  TableStore Store;
+  Store.ReadTable =
+      [this](std::string Table) -> asio::awaitable<Outcome<TableRows>> {
+    ++this->Calls;
+    if (this->Down)
+      co_return failure(Errc::Unavailable);
+    co_return this->rowsAfter(Table, 0, false);
+  };
+  Store.ReadChanges = [this](std::string Table, std::uint64_t After,
+                             Clock::duration Wait) {
+    return this->readChanges(std::move(Table), After, Wait);
+  };
+  Store.Commit = [this](std::vector<TableWrite> Writes)
+      -> asio::awaitable<Outcome<std::uint64_t>> {
+    ++this->Calls;
+    if (this->Down)
+      co_return failure(Errc::Unavailable);
+    co_return this->commit(Writes);
+  };
+  return Store;
+}
+
+asio::awaitable<Outcome<TableRows>>
+FakeTables::readChanges(std::string Table, std::uint64_t After,
+                        Clock::duration Wait) {
+  ++this->Calls;
+  const Clock::time_point End = Clock::now() + Wait;
+  for (;;) {
+    if (this->Down)
+      co_return failure(Errc::Unavailable);
+    if (After < this->OldestHistory)
+      co_return failure(Errc::Stale);
+    TableRows Rows = this->rowsAfter(Table, After, true);
+    if (!Rows.Rows.empty() || Clock::now() >= End)
+      co_return Rows;
+    co_await sleepFor(PollPeriod);
+  }
+}
+
+TableRows FakeTables::rowsAfter(const std::string &Table, std::uint64_t After,
+                                bool WithDeleted) const {
+  TableRows Result;
+  Result.Version = this->Version;
+  Result.StoreTime = Clock::now().time_since_epoch();
+  const auto Found = this->Tables.find(Table);
+  if (Found == this->Tables.end())
+    return Result;
+  for (const auto &[Key, Item] : Found->second)
+    if (Item.Version > After && (WithDeleted || !Item.Deleted))
+      Result.Rows.push_back({Key, Item.Value, Item.Version, Item.Deleted});
+  return Result;
+}
+
+Outcome<std::uint64_t>
+FakeTables::commit(const std::vector<TableWrite> &Writes) {
+  for (const TableWrite &Write : Writes) {
+    const auto &Rows = this->Tables[Write.Table];
+    const auto Found = Rows.find(Write.Key);
+    const std::uint64_t Current =
+        Found == Rows.end() || Found->second.Deleted ? 0
+                                                     : Found->second.Version;
+    if (Write.Expected && *Write.Expected != Current)
+      return failure(Errc::Conflict);
+  }
+  ++this->Version;
+  for (const TableWrite &Write : Writes)
+    this->Tables[Write.Table][Write.Key] = {Write.Value, this->Version, false};
+  return this->Version;
+}
+
+void FakeTables::put(const std::string &Table, const std::string &Key,
+                     const std::string &Value) {
+  this->Tables[Table][Key] = {Value, ++this->Version, false};
+}
+
+void FakeTables::erase(const std::string &Table, const std::string &Key) {
+  this->Tables[Table][Key] = {"", ++this->Version, true};
+}
+
+const std::string *FakeTables::find(const std::string &Table,
+                                    const std::string &Key) const {
+  const auto Rows = this->Tables.find(Table);
+  if (Rows == this->Tables.end())
+    return nullptr;
+  const auto Found = Rows->second.find(Key);
+  return Found == Rows->second.end() ? nullptr : &Found->second.Value;
+}
+
+} // namespace rr
--- a/src/features/gateway/Gateway.cpp
+++ b/src/features/gateway/Gateway.cpp
@@ -147,7 +147,7 @@
   Call.Cancel = Request.Cancel;
   Call.Accepts = [&Names, Id = Request.Id](const HttpMessage &Answer) {
     const std::string *Echo = findHeader(Answer.Headers, Names.RequestId);
-    return Echo ? *Echo == Id : Answer.Status >= 300;
+    return !Echo || *Echo == Id;
   };
   this->State.Shifts.note(Server->Region, Start);
   if (Request.Object)
--- /dev/null
+++ b/src/features/gateway/InstanceTestBed.cpp
@@ -0,0 +1,189 @@
+#include "gateway/InstanceTestBed.h"
+
+#include "base/Timer.h"
+
+namespace rr {
+
+namespace {
+
+GatewaySettings testSettings() {
+  GatewaySettings Settings;
+  Settings.Name = "i0";
+  Settings.Zone = "z-a";
+  Settings.Region = "z";
+  Settings.CallerAddress = "127.0.0.1:0";
+  Settings.ReadinessAddress = "127.0.0.1:0";
+  Settings.LookupAddress = "127.0.0.1:0";
+  Settings.Zones = {{"z-a", "z"}, {"y-a", "y"}};
+  Settings.Headers = {"Id",     "Deadline", "Key",    "Workspace", "Object",
+                      "Expect-Server", "Stamp",  "Not-Run", "Load"};
+  return Settings;
+}
+
+SteeringRoute route(const std::string &Name, RouteKind Kind) {
+  SteeringRoute Route;
+  Route.Name = Name;
+  Route.Host = "h";
+  Route.PathPrefix = "/" + Name + "/";
+  Route.Kind = Kind;
+  Route.TargetLatency = std::chrono::milliseconds(500);
+  Route.Timeout = std::chrono::seconds(2);
+  Route.MaxAttempts = 2;
+  Route.Split = {{"stock", 1}};
+  return Route;
+}
+
+} // namespace
+
+InstanceTestBed::InstanceTestBed() {
+  Clock::pause();
+  PlatformCodec Codec;
+  Codec.BackendTable = "backends";
+  Codec.OrderTable = "orders";
+  // A row holds ADDRESS ZONE STATE.
+  Codec.DecodeBackend = [](const TableRow &Row) -> Outcome<BackendRecord> {
+    std::istringstream Text(Row.Value);
+    BackendRecord Record;
+    std::string State;
+    if (!(Text >> Record.Address >> Record.Zone >> State))
+      return failure(Errc::Malformed);
+    Record.Id = Row.Key;
+    Record.Service = "stock";
+    Record.Version = "v1";
+    Record.Slots = 4;
+    Record.Draining = State == "draining";
+    return Record;
+  };
+  Codec.DecodeOrder = [this](const TableRow &Row) -> Outcome<OperatorOrder> {
+    if (Row.Key == "config")
+      return OperatorOrder(this->Configs.at(std::stoull(Row.Value)));
+    return OperatorOrder(EvacuationOrder{Row.Key});
+  };
+  Codec.EncodeMoveStatus = [](const VersionMove &Move) {
+    return TableWrite{"status", Move.Service, Move.Target, {}};
+  };
+  Codec.DecodeLookup = [](const HttpMessage &) -> Outcome<LookupQuery> {
+    return LookupQuery{"h", "z-a", "z"};
+  };
+  Codec.EncodeLookup = [](const std::vector<std::string> &Addresses,
+                          Clock::duration) {
+    HttpMessage Reply;
+    Reply.Status = 200;
+    for (const std::string &Address : Addresses)
+      Reply.Body += Address + "\n";
+    return Reply;
+  };
+  Codec.IsReadinessCall = [](const HttpMessage &) { return true; };
+  this->Instance = std::make_unique<SteeringInstance>(
+      this->Context, testSettings(), this->Tables.tables(), Codec);
+}
+
+InstanceTestBed::~InstanceTestBed() { Clock::resume(); }
+
+HttpMessage InstanceTestBed::goodAnswer(const HttpMessage &Request) {
+  HttpMessage Reply;
+  Reply.Status = 200;
+  if (const std::string *Id = findHeader(Request.Headers, "Id"))
+    Reply.Headers.push_back({"Id", *Id});
+  Reply.Headers.push_back({"Stamp", "s"});
+  Reply.Body = "whole body";
+  return Reply;
+}
+
+HttpMessage InstanceTestBed::notRunAnswer(const HttpMessage &Request) {
+  HttpMessage Reply = goodAnswer(Request);
+  Reply.Status = 503;
+  Reply.Headers.push_back({"Not-Run", "1"});
+  return Reply;
+}
+
+InstanceTestBed::Backend &InstanceTestBed::addBackend(const std::string &Id,
+                                                      const std::string &Zone) {
+  Backend &Item = this->Backends[Id];
+  Item.Server = std::make_unique<HttpServer>(
+      this->Context,
+      [&Item](HttpMessage Request,
+              CancellationPtr Cancel) -> asio::awaitable<HttpMessage> {
+        Cancel->onCancel([&Item] { ++Item.Cancelled; });
+        Item.Requests.push_back(Request);
+        while (Item.Hold && !Cancel->isCancelled())
+          co_await sleepFor(std::chrono::milliseconds(5));
+        if (Item.Answers.empty())
+          co_return goodAnswer(Request);
+        const auto Answer = Item.Answers.front();
+        Item.Answers.pop_front();
+        co_return Answer(Request);
+      });
+  if (!Item.Server->listen("127.0.0.1:0"))
+    std::abort();
+  Item.Address = "127.0.0.1:" + std::to_string(Item.Server->port());
+  this->putBackend(Id, Zone);
+  return Item;
+}
+
+void InstanceTestBed::putBackend(const std::string &Id, const std::string &Zone,
+                                 bool Draining) {
+  this->Tables.put("backends", Id,
+                   this->Backends.at(Id).Address + " " + Zone +
+                       (Draining ? " draining" : " ready"));
+}
+
+void InstanceTestBed::configure(std::uint64_t Version,
+                                std::vector<std::string> Keys, double Rate) {
+  auto Config = std::make_shared<SteeringConfig>();
+  Config->Version = Version;
+  SteeringRoute Open = route("open", RouteKind::Safe);
+  Open.AllowAnonymous = true;
+  Config->RoutesByHost["h"] = {route("safe", RouteKind::Safe),
+                               route("order", RouteKind::Unsafe), Open};
+  Config->Services["stock"] = {"stock", 100, 10};
+  SteeringWorkspace Workspace;
+  Workspace.Name = "w";
+  Workspace.Rate = Rate;
+  Workspace.Burst = Rate;
+  Config->Workspaces.push_back(Workspace);
+  Config->NeedsKeys = true;
+  for (const std::string &Key : Keys)
+    Config->KeyOwners[Key] = 0;
+  this->Configs[Version] = Config;
+  this->Tables.put("orders", "config", std::to_string(Version));
+}
+
+void InstanceTestBed::advance(Clock::duration Time) {
+  constexpr Clock::duration Step = std::chrono::milliseconds(10);
+  for (Clock::duration Passed{0}; Passed < Time; Passed += Step) {
+    Clock::advance(Step);
+    Timer Trigger(this->Context, Clock::time_point::min());
+    Trigger.async_wait([](const asio::error_code &) {});
+    this->Context.restart();
+    while (this->Context.poll() > 0) {
+    }
+  }
+}
+
+std::string InstanceTestBed::request(const std::string &Method,
+                                     const std::string &Target,
+                                     const std::string &Key) {
+  LoopbackPeer Peer(this->Context, this->Instance->callerPort());
+  static int LastId = 0;
+  Peer.send(Method + " " + Target + " HTTP/1.1\r\nHost: h\r\nId: " +
+            std::to_string(++LastId) + "\r\nDeadline: 1500\r\n" +
+            (Key.empty() ? "" : "Key: " + Key + "\r\n") +
+            "Workspace: forged\r\nConnection: close\r\n\r\n");
+  for (int Step = 0; Step < 400 && !Peer.Ended; ++Step) {
+    this->Context.restart();
+    this->Context.poll();
+    if (!Peer.Ended)
+      this->advance(std::chrono::milliseconds(10));
+  }
+  return Peer.Received;
+}
+
+std::size_t InstanceTestBed::arrivals() const {
+  std::size_t Count = 0;
+  for (const auto &Item : this->Backends)
+    Count += Item.second.Requests.size();
+  return Count;
+}
+
+} // namespace rr
--- /dev/null
+++ b/src/features/gateway/tst_SteeringInstance.cpp
@@ -0,0 +1,267 @@
+#include "gateway/InstanceTestBed.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rr;
+using namespace std::chrono_literals;
+
+namespace {
+
+bool hasStatus(const std::string &Answer, int Status) {
+  return Answer.rfind("HTTP/1.1 " + std::to_string(Status) + " ", 0) == 0;
+}
+
+struct Bed : InstanceTestBed {
+  Bed() {
+    this->addBackend("b1");
+    this->addBackend("b2");
+    this->configure(1, {"key"});
+  }
+
+  void start() {
+    REQUIRE(this->Instance->start());
+    this->advance(100ms);
+  }
+
+  Backend &used() {
+    return this->Backends.at("b1").Requests.empty() ? this->Backends.at("b2")
+                                                    : this->Backends.at("b1");
+  }
+};
+
+} // namespace
+
+TEST_CASE("Before a configuration is known requests are refused with 503, and "
+          "never with 401 or 404",
+          "[instance]") {
+  Bed B;
+  B.Tables.Down = true;
+  B.start();
+  CHECK(hasStatus(B.request("GET", "/safe/x"), 503));
+  CHECK_FALSE(B.Instance->isReady());
+  B.Tables.Down = false;
+  B.advance(2s);
+  CHECK(B.Instance->isReady());
+  CHECK(hasStatus(B.request("GET", "/safe/x"), 200));
+}
+
+TEST_CASE("A request reaches its server without the key and with the fields "
+          "that the server relies on",
+          "[instance]") {
+  Bed B;
+  B.start();
+  const std::string Answer = B.request("GET", "/safe/x?y=1");
+  REQUIRE(hasStatus(Answer, 200));
+  CHECK(Answer.find("whole body") != std::string::npos);
+  CHECK(Answer.find("Stamp: s") != std::string::npos);
+  REQUIRE(B.arrivals() == 1);
+  const HttpMessage &Seen = B.used().Requests.front();
+  CHECK(Seen.Target == "/safe/x?y=1");
+  CHECK_FALSE(findHeader(Seen.Headers, "Key"));
+  CHECK(*findHeader(Seen.Headers, "Workspace") == "w");
+  CHECK(findHeader(Seen.Headers, "Expect-Server"));
+  CHECK(std::stoi(*findHeader(Seen.Headers, "Deadline")) <= 1500);
+}
+
+TEST_CASE("Unknown routes and keys are refused and run nowhere", "[instance]") {
+  Bed B;
+  B.start();
+  CHECK(hasStatus(B.request("GET", "/none/x"), 404));
+  CHECK(hasStatus(B.request("GET", "/safe/x", "wrong"), 401));
+  CHECK(hasStatus(B.request("GET", "/safe/x", ""), 401));
+  CHECK(B.arrivals() == 0);
+  CHECK(hasStatus(B.request("GET", "/open/x", ""), 200));
+  CHECK_FALSE(findHeader(B.used().Requests.front().Headers, "Workspace"));
+}
+
+TEST_CASE("A withdrawn key stops working, and without the store all keys stop "
+          "before a withdrawal could go unnoticed for too long",
+          "[instance]") {
+  Bed B;
+  B.start();
+  CHECK(hasStatus(B.request("GET", "/safe/x"), 200));
+  B.configure(2, {"other"});
+  B.advance(50ms);
+  CHECK(hasStatus(B.request("GET", "/safe/x"), 401));
+  CHECK(hasStatus(B.request("GET", "/safe/x", "other"), 200));
+  B.Tables.Down = true;
+  B.advance(2s);
+  CHECK(hasStatus(B.request("GET", "/safe/x", "other"), 200));
+  B.advance(4s);
+  CHECK(hasStatus(B.request("GET", "/safe/x", "other"), 503));
+  CHECK(hasStatus(B.request("GET", "/open/x", ""), 200));
+}
+
+TEST_CASE("An older configuration never replaces a newer one", "[instance]") {
+  Bed B;
+  B.configure(5, {"key"});
+  B.start();
+  B.configure(4, {"old"});
+  B.advance(2s);
+  CHECK(hasStatus(B.request("GET", "/safe/x", "old"), 401));
+  CHECK(hasStatus(B.request("GET", "/safe/x"), 200));
+}
+
+TEST_CASE("A workspace beyond its rate gets 429", "[instance]") {
+  Bed B;
+  B.configure(2, {"key"}, 2);
+  B.start();
+  int Refused = 0;
+  for (int Index = 0; Index < 10; ++Index)
+    Refused += hasStatus(B.request("GET", "/safe/x"), 429) ? 1 : 0;
+  CHECK(Refused >= 5);
+  CHECK(B.arrivals() + Refused == 10);
+}
+
+TEST_CASE("A safe request whose answer is lost is sent to another server",
+          "[instance]") {
+  Bed B;
+  B.start();
+  // Retries are a share of the requests, so some have to come first.
+  for (int Index = 0; Index < 10; ++Index)
+    B.request("GET", "/safe/x");
+  const std::size_t Before = B.arrivals();
+  for (auto &Item : B.Backends)
+    Item.second.Answers.push_back([](const HttpMessage &Request) {
+      HttpMessage Reply = InstanceTestBed::goodAnswer(Request);
+      std::erase_if(Reply.Headers,
+                    [](const HttpHeader &F) { return F.Name == "Stamp"; });
+      return Reply;
+    });
+  B.Backends.at("b2").Answers.clear();
+  B.Backends.at("b1").Answers.resize(1);
+  for (int Index = 0; Index < 4; ++Index)
+    CHECK(hasStatus(B.request("GET", "/safe/x"), 200));
+  CHECK(B.arrivals() >= Before + 4);
+}
+
+TEST_CASE("An order is sent once when its answer is lost, and the caller is "
+          "not told that it has not run",
+          "[instance]") {
+  Bed B;
+  B.start();
+  for (auto &Item : B.Backends)
+    Item.second.Answers.push_back([](const HttpMessage &) {
+      HttpMessage Reply;
+      Reply.Status = 200;
+      Reply.Body = "unsigned";
+      return Reply;
+    });
+  CHECK(hasStatus(B.request("POST", "/order/x"), 502));
+  CHECK(B.arrivals() == 1);
+}
+
+TEST_CASE("An order that its server has not run goes to another one",
+          "[instance]") {
+  Bed B;
+  B.start();
+  for (int Index = 0; Index < 10; ++Index)
+    B.request("POST", "/order/x");
+  const std::size_t Before = B.arrivals();
+  BackendPtr First;
+  for (auto &Item : B.Backends)
+    Item.second.Answers.push_back(&InstanceTestBed::notRunAnswer);
+  // Both turn it away: a refusal that is true.
+  CHECK(hasStatus(B.request("POST", "/order/x"), 503));
+  CHECK(B.arrivals() == Before + 2);
+}
+
+TEST_CASE("A request that runs too long gets 504 at its route's time-out",
+          "[instance]") {
+  Bed B;
+  B.start();
+  for (auto &Item : B.Backends)
+    Item.second.Hold = true;
+  CHECK(hasStatus(B.request("POST", "/order/x"), 504));
+  CHECK(B.used().Cancelled == 1);
+}
+
+TEST_CASE("A server that drains or whose entry is gone gets nothing more",
+          "[instance]") {
+  Bed B;
+  B.start();
+  B.putBackend("b1", "z-a", true);
+  B.advance(1s);
+  for (int Index = 0; Index < 6; ++Index)
+    CHECK(hasStatus(B.request("GET", "/safe/x"), 200));
+  CHECK(B.Backends.at("b1").Requests.empty());
+  B.Tables.erase("backends", "b2");
+  B.advance(1s);
+  const std::string Answer = B.request("GET", "/safe/x");
+  CHECK(hasStatus(Answer, 503));
+  CHECK(Answer.find("Retry-After: ") != std::string::npos);
+}
+
+TEST_CASE("Entries that lapsed while the store was away come back in time, and "
+          "others are gone shortly after",
+          "[instance]") {
+  Bed B;
+  B.start();
+  B.Tables.Down = true;
+  B.advance(3s);
+  CHECK(hasStatus(B.request("GET", "/open/x", ""), 200));
+  B.Tables.erase("backends", "b1");
+  B.Tables.erase("backends", "b2");
+  B.Tables.Down = false;
+  B.advance(1s);
+  CHECK(hasStatus(B.request("GET", "/safe/x"), 200));
+  B.putBackend("b2", "z-a");
+  B.advance(3s);
+  const std::size_t Before = B.Backends.at("b1").Requests.size();
+  for (int Index = 0; Index < 6; ++Index)
+    CHECK(hasStatus(B.request("GET", "/safe/x"), 200));
+  CHECK(B.Backends.at("b1").Requests.size() == Before);
+}
+
+TEST_CASE("Rows that changed while history was dropped are found",
+          "[instance]") {
+  Bed B;
+  B.start();
+  B.configure(2, {"other"});
+  B.Tables.erase("backends", "b1");
+  B.Tables.dropHistory();
+  B.advance(2s);
+  CHECK(hasStatus(B.request("GET", "/safe/x"), 401));
+  CHECK_FALSE(B.Instance->state().Backends.find("b1"));
+}
+
+TEST_CASE("An evacuated zone gets nothing until it is taken back, and its "
+          "servers may then be cold",
+          "[instance]") {
+  Bed B;
+  B.addBackend("b3", "y-a");
+  B.Tables.put("orders", "z-a", "");
+  B.start();
+  for (int Index = 0; Index < 4; ++Index)
+    CHECK(hasStatus(B.request("GET", "/safe/x"), 200));
+  CHECK(B.Backends.at("b3").Requests.size() == 4);
+  B.Tables.erase("orders", "z-a");
+  B.advance(100ms);
+  CHECK(B.Instance->state().Backends.find("b1")->MaybeCold);
+}
+
+TEST_CASE("A stop leaves the look-up at once, answers what runs and then ends",
+          "[instance]") {
+  Bed B;
+  B.start();
+  B.advance(3s);
+  for (auto &Item : B.Backends)
+    Item.second.Hold = true;
+  LoopbackPeer Busy(B.Context, B.Instance->callerPort());
+  Busy.send("GET /open/x HTTP/1.1\r\nHost: h\r\nId: 9\r\n\r\n");
+  B.advance(100ms);
+  REQUIRE(B.arrivals() == 1);
+  bool Done = false;
+  B.Instance->beginStop([&] { Done = true; });
+  B.advance(200ms);
+  CHECK_FALSE(B.Instance->isReady());
+  const std::string *Row = B.Tables.find("redwingrack", "instance/i0");
+  REQUIRE(Row);
+  CHECK(Row->find("\"leaving\":true") != std::string::npos);
+  for (auto &Item : B.Backends)
+    Item.second.Hold = false;
+  B.advance(200ms);
+  CHECK(Busy.Received.find("whole body") != std::string::npos);
+  B.advance(6s);
+  CHECK(Done);
+}
--- /dev/null
+++ b/src/features/steering/tst_FleetSums.cpp
@@ -0,0 +1,211 @@
+#include "steering/ColdGate.h"
+#include "steering/MemberView.h"
+#include "steering/QuotaGate.h"
+#include "steering/ShiftLimiter.h"
+#include "steering/StableHash.h"
+#include "steering/SteeringTestBed.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace rr;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Instances that publish their demand every two seconds and read each other's
+/// records with a delay, as through the platform's table.
+struct Fleet {
+  explicit Fleet(int Size) {
+    Clock::pause();
+    for (int Index = 0; Index < Size; ++Index) {
+      this->Names.push_back("i" + std::to_string(Index));
+      this->Views.emplace_back(this->Names.back());
+      this->Gates.emplace_back();
+    }
+    this->publish();
+  }
+  ~Fleet() { Clock::resume(); }
+
+  void publish() {
+    this->StoreTime = Clock::now().time_since_epoch();
+    for (std::size_t From = 0; From < this->Names.size(); ++From) {
+      if (this->Cut.count(From))
+        continue;
+      MemberRecord Record =
+          testMember(this->Names[From], "r-a", this->StoreTime);
+      Record.Demand = this->Gates[From].demand(Clock::now());
+      for (std::size_t To = 0; To < this->Views.size(); ++To)
+        if (!this->Cut.count(To)) {
+          this->Views[To].apply(Record);
+          this->Views[To].setStoreTime(this->StoreTime);
+        }
+    }
+  }
+
+  std::vector<std::string> Names;
+  std::vector<MemberView> Views;
+  std::vector<QuotaGate> Gates;
+  std::set<std::size_t> Cut;
+  Clock::duration StoreTime{0};
+};
+
+} // namespace
+
+TEST_CASE("A workspace whose demand jumps and moves between instances stays "
+          "within its rate and burst over all instances",
+          "[quota]") {
+  const auto Seed = GENERATE(1, 2, 3, 4, 5, 6);
+  std::mt19937 Random(Seed);
+  Fleet F(12);
+  SteeringWorkspace Workspace;
+  Workspace.Name = "w";
+  Workspace.Rate = 200;
+  Workspace.Burst = 200;
+  std::deque<std::pair<Clock::time_point, int>> Admitted;
+  int InWindow = 0;
+  int Most = 0;
+  std::vector<double> Weights(12, 1);
+  for (int Step = 0; Step < 3000; ++Step) {
+    Clock::advance(10ms);
+    if (Step % 200 == 0)
+      F.publish();
+    if (Step % 300 == 0)
+      for (double &Weight : Weights)
+        Weight = std::uniform_real_distribution<>(0, 1)(Random);
+    const int Offered = Step > 1000 ? 16 : 1;
+    int Count = 0;
+    std::discrete_distribution<std::size_t> Pick(Weights.begin(),
+                                                 Weights.end());
+    for (int Index = 0; Index < Offered; ++Index) {
+      const std::size_t To = Pick(Random);
+      if (F.Gates[To].take(Workspace, F.Views[To], Clock::now()) ==
+          Clock::duration::zero())
+        ++Count;
+    }
+    Admitted.emplace_back(Clock::now(), Count);
+    InWindow += Count;
+    while (Admitted.front().first + 5s <= Clock::now()) {
+      InWindow -= Admitted.front().second;
+      Admitted.pop_front();
+    }
+    Most = std::max(Most, InWindow);
+  }
+  CAPTURE(Seed, Most);
+  // A window of five seconds at the rate, the burst, and a tenth.
+  CHECK(Most <= (200 * 5 + 200) * 1.1 + 20);
+}
+
+TEST_CASE("A refused request does not use up the workspace's rate",
+          "[quota]") {
+  Clock::pause();
+  MemberView Members("i0");
+  QuotaGate Gate;
+  SteeringWorkspace Workspace;
+  Workspace.Name = "w";
+  Workspace.Rate = 2;
+  Workspace.Burst = 2;
+  REQUIRE(Gate.take(Workspace, Members, Clock::now()) ==
+          Clock::duration::zero());
+  for (int Index = 0; Index < 10; ++Index) {
+    Gate.giveBack(Workspace);
+    CHECK(Gate.take(Workspace, Members, Clock::now()) ==
+          Clock::duration::zero());
+  }
+  CHECK(Gate.take(Workspace, Members, Clock::now()) > Clock::duration::zero());
+  Clock::resume();
+}
+
+TEST_CASE("The parts of all instances that read the same records add up to "
+          "one",
+          "[quota]") {
+  Fleet F(7);
+  SteeringWorkspace Workspace;
+  Workspace.Name = "w";
+  Workspace.Rate = 100;
+  for (int Index = 0; Index < 40; ++Index)
+    F.Gates[2].take(Workspace, F.Views[2], Clock::now());
+  double Before = 0;
+  for (const MemberView &View : F.Views)
+    Before += View.rateShare("w");
+  CHECK(Before == Approx(1));
+  F.publish();
+  double After = 0;
+  for (const MemberView &View : F.Views)
+    After += View.rateShare("w");
+  CHECK(After == Approx(1));
+  CHECK(F.Views[2].rateShare("w") > 0.5);
+}
+
+TEST_CASE("A cold server gets no more from all instances than it bears",
+          "[cold]") {
+  Fleet F(18);
+  std::vector<ColdGate> Gates(18);
+  BackendState Server;
+  Server.Record = testBackend("cold", "r-a");
+  Server.Hash = stableHash("cold");
+  std::deque<Clock::time_point> Sent;
+  std::size_t Most = 0;
+  for (int Step = 0; Step < 300; ++Step) {
+    Clock::advance(10ms);
+    for (std::size_t Index = 0; Index < Gates.size(); ++Index)
+      if (Gates[Index].take(Server, 10, F.Views[Index], Clock::now()))
+        Sent.push_back(Clock::now());
+    while (!Sent.empty() && Sent.front() + 1s <= Clock::now())
+      Sent.pop_front();
+    Most = std::max(Most, Sent.size());
+  }
+  CHECK(Most >= 5);
+  CHECK(Most <= 15);
+}
+
+TEST_CASE("An instance that was killed is no longer named after a few seconds, "
+          "and nobody is forgotten while the store is away",
+          "[members]") {
+  MemberView View("i0");
+  View.setStoreTime(100s);
+  View.apply(testMember("i0", "r-a", 100s));
+  View.apply(testMember("i1", "r-a", 100s));
+  CHECK(View.addressesFor("r-a", "r", {}, 64).size() == 2);
+  // Without the store its clock does not advance here.
+  CHECK(View.live().size() == 2);
+  View.setStoreTime(106s);
+  View.apply(testMember("i0", "r-a", 106s));
+  CHECK(View.addressesFor("r-a", "r", {}, 64).size() == 1);
+}
+
+TEST_CASE("A caller is sent to its availability zone, its region, the homes of "
+          "its routes, and then anywhere",
+          "[members]") {
+  MemberView View("x");
+  View.setStoreTime(10s);
+  View.apply(testMember("a1", "s-a", 10s));
+  View.apply(testMember("a22", "s-a", 10s));
+  View.apply(testMember("b333", "s-b", 10s));
+  View.apply(testMember("c4444", "l-a", 10s));
+  CHECK(View.addressesFor("s-a", "s", {}, 64).size() == 2);
+  CHECK(View.addressesFor("s-b", "s", {}, 64).size() == 3);
+  CHECK(View.addressesFor("q-a", "q", {"l"}, 64).size() == 1);
+  CHECK(View.addressesFor("q-a", "q", {}, 64).size() == 4);
+  CHECK(View.addressesFor("q-a", "q", {}, 3).size() == 3);
+}
+
+TEST_CASE("The share of a region does not jump from one window to the next",
+          "[shift]") {
+  Clock::pause();
+  ShiftLimiter Limiter(0.15);
+  int Away = 0;
+  for (int Step = 0; Step < 800; ++Step) {
+    Clock::advance(10ms);
+    // From the fourth second on, everything would go to the other region.
+    const bool Wants = Step >= 400;
+    const auto Full = Limiter.fullRegions(Clock::now());
+    const bool Goes = Wants && !Full.count("other");
+    Limiter.note(Goes ? "other" : "own", Clock::now());
+    Away += Goes && Step < 600 ? 1 : 0;
+  }
+  CHECK(Away > 4);
+  CHECK(Away <= 200 * 0.15);
+  Clock::resume();
+}
--- /dev/null
+++ b/src/features/steering/tst_PlacementRule.cpp
@@ -0,0 +1,169 @@
+#include "steering/PlacementRule.h"
+
+#include "steering/ObjectHomes.h"
+#include "steering/ObservedLoad.h"
+#include "steering/StableHash.h"
+#include "steering/SteeringTestBed.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rr;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ColdPermit NoPermit = [](const BackendState &) { return false; };
+
+/// Two regions of two availability zones each; the first has few servers.
+struct Site {
+  Site() {
+    Clock::pause();
+    for (int Index = 0; Index < 2; ++Index)
+      this->add("small-" + std::to_string(Index), "s-a");
+    for (int Index = 0; Index < 8; ++Index)
+      this->add("large-" + std::to_string(Index), "l-a");
+    this->Query.Route = &this->Route;
+    this->Query.Service = "stock";
+    this->Query.TimeLeft = 2s;
+    this->Query.Object = stableHash("object");
+  }
+  ~Site() { Clock::resume(); }
+
+  void add(const std::string &Id, const std::string &Zone) {
+    this->Pool.apply(testBackend(Id, Zone), Clock::now());
+  }
+
+  Placement choose(const ColdPermit &Permit = NoPermit) {
+    return choosePlacement(this->Query, this->Pool.ofService("stock"),
+                           this->Work, this->Network, Permit, Clock::now());
+  }
+
+  SteeringRoute Route = testRoute();
+  BackendPool Pool{{{"s-a", "s"}, {"l-a", "l"}}};
+  NetworkTimes Network{"s-a", "s"};
+  WorkTimes Work;
+  PlacementQuery Query;
+};
+
+void fill(BackendState &Server, int Load) {
+  noteLoad(Server, {Load, 0, Server.Record.Slots}, Clock::now());
+}
+
+} // namespace
+
+TEST_CASE("An object goes to the same server of its region again and again",
+          "[placement]") {
+  Site S;
+  const Placement First = S.choose();
+  REQUIRE(First.Outcome == Placement::Result::Found);
+  CHECK(First.Server->Region == "s");
+  for (int Index = 0; Index < 20; ++Index)
+    CHECK(S.choose().Server == First.Server);
+}
+
+TEST_CASE("A full home sends its requests to the object's home in another "
+          "region, and not to any free server",
+          "[placement]") {
+  Site S;
+  fill(*S.choose().Server, 20);
+  const ObjectHomes Homes(S.Query, "s", S.Pool.ofService("stock"));
+  const Placement Next = S.choose();
+  REQUIRE(Next.Outcome == Placement::Result::Found);
+  CHECK(Homes.standingOf(*Next.Server, false) == CacheStanding::NextHome);
+  CHECK(Next.Server->Region == "l");
+}
+
+TEST_CASE("Under load a request is refused before it displaces objects from "
+          "the cache of a server that is not its home",
+          "[placement]") {
+  Site S;
+  for (const BackendPtr &Server : S.Pool.ofService("stock"))
+    fill(*Server, 5);
+  const ObjectHomes Homes(S.Query, "s", S.Pool.ofService("stock"));
+  for (const BackendPtr &Server : S.Pool.ofService("stock"))
+    if (Homes.standingOf(*Server, false) < CacheStanding::Stranger)
+      fill(*Server, 20);
+  CHECK(S.choose().Outcome == Placement::Result::Full);
+}
+
+TEST_CASE("A request with little time left is offered to a free server, also "
+          "when the usual work is longer",
+          "[placement]") {
+  Site S;
+  S.Query.TimeLeft = 400ms;
+  CHECK(S.choose().Outcome == Placement::Result::Found);
+  S.Query.TimeLeft = 20ms;
+  CHECK(S.choose().Outcome == Placement::Result::Full);
+}
+
+TEST_CASE("Servers that drain, are evacuated, were tried or are outside the "
+          "homes get nothing",
+          "[placement]") {
+  Site S;
+  const std::set<std::string> Evacuated{"s-a"};
+  SECTION("evacuated") {
+    S.Query.Evacuated = &Evacuated;
+    CHECK(S.choose().Server->Region == "l");
+  }
+  SECTION("outside the homes") {
+    S.Query.Homes = {"l"};
+    CHECK(S.choose().Server->Region == "l");
+  }
+  SECTION("tried") {
+    const BackendPtr First = S.choose().Server;
+    S.Query.Tried = {First->Record.Id};
+    CHECK(S.choose().Server != First);
+  }
+  SECTION("draining") {
+    const BackendPtr First = S.choose().Server;
+    BackendRecord Leaving = First->Record;
+    Leaving.Draining = true;
+    S.Pool.apply(Leaving, Clock::now());
+    CHECK(S.choose().Server != First);
+  }
+  SECTION("none is left") {
+    S.Query.Homes = {"elsewhere"};
+    CHECK(S.choose().Outcome == Placement::Result::NoServer);
+  }
+}
+
+TEST_CASE("A cold server gets a request only with a permit", "[placement]") {
+  Site S;
+  const BackendPtr First = S.choose().Server;
+  First->ColdUntil = Clock::now() + 3s;
+  CHECK(S.choose().Server != First);
+  for (const BackendPtr &Server : S.Pool.ofService("stock"))
+    Server->ColdUntil = Clock::now() + 3s;
+  CHECK(S.choose().Outcome == Placement::Result::Full);
+  CHECK(S.choose([](const BackendState &) { return true; }).Outcome ==
+        Placement::Result::Found);
+}
+
+TEST_CASE("A failing server is avoided until its failures are old",
+          "[placement]") {
+  Site S;
+  const BackendPtr First = S.choose().Server;
+  for (int Index = 0; Index < 30; ++Index)
+    noteAttempt(*First, true, Clock::now());
+  CHECK(S.choose().Server != First);
+  Clock::advance(30s);
+  CHECK(S.choose().Server == First);
+}
+
+TEST_CASE("A reported queue is remembered until it can have been worked off",
+          "[placement]") {
+  Site S;
+  BackendState &Server = *S.choose().Server;
+  fill(Server, 30);
+  Clock::advance(600ms);
+  CHECK(estimatedLoad(Server, Clock::now()) > 20);
+  Clock::advance(20s);
+  CHECK(estimatedLoad(Server, Clock::now()) < 1);
+}
+
+TEST_CASE("A refusal without a load marks the server as full", "[placement]") {
+  Site S;
+  BackendState &Server = *S.choose().Server;
+  noteFull(Server, Clock::now());
+  CHECK(estimatedLoad(Server, Clock::now()) >= 2 * Server.Record.Slots);
+}
--- a/src/libs/http1/tst_HttpServer.cpp
+++ b/src/libs/http1/tst_HttpServer.cpp
@@ -1,1 +1,117 @@
+#include "http1/HttpServer.h"
+
+#include "base/OneShotEvent.h"
+#include "http1/LoopbackPeer.h"
+
 #include <catch2/catch.hpp>
+
+using namespace rr;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct ServerBed {
+  ServerBed()
+      : Server(this->Context,
+               [this](HttpMessage Request, CancellationPtr Cancel)
+                   -> asio::awaitable<HttpMessage> {
+                 this->Requests.push_back(std::move(Request));
+                 Cancel->onCancel([this] { ++this->Cancelled; });
+                 HttpMessage Reply;
+                 Reply.Status = 200;
+                 Reply.Body = "body of " + this->Requests.back().Target;
+                 if (this->Hold)
+                   co_await this->Hold->waitUntil(Clock::now() + 20s);
+                 co_return Reply;
+               }) {
+    REQUIRE(this->Server.listen("127.0.0.1:0"));
+  }
+
+  asio::io_context Context;
+  std::vector<HttpMessage> Requests;
+  int Cancelled = 0;
+  std::unique_ptr<OneShotEvent> Hold;
+  HttpServer Server;
+};
+
+} // namespace
+
+TEST_CASE("Requests on one connection are answered in order, also when they "
+          "come at once",
+          "[http1]") {
+  ServerBed Bed;
+  LoopbackPeer Peer(Bed.Context, Bed.Server.port());
+  Peer.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n"
+            "\r\n");
+  REQUIRE(Peer.waitFor("body of /2"));
+  CHECK(Peer.Received.find("/1") < Peer.Received.find("/2"));
+}
+
+TEST_CASE("Malformed and oversized requests get an answer and a close, and "
+          "reach no handler",
+          "[http1]") {
+  ServerBed Bed;
+  Bed.Server.setLimits({{200, 10}, 1s, 1s, 1s, 10});
+  struct Case {
+    std::string Text;
+    const char *Status;
+  };
+  const std::vector<Case> Cases = {
+      {"GET / HTTP/1.1\r\nHost : h\r\n\r\n", "HTTP/1.1 400"},
+      {"GET / HTTP/1.1\r\n\r\n", "HTTP/1.1 400"},
+      {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\n",
+       "HTTP/1.1 413"},
+      {"GET / HTTP/1.1\r\nHost: h\r\nA: " + std::string(300, 'a') + "\r\n\r\n",
+       "HTTP/1.1 431"},
+  };
+  for (const Case &Item : Cases) {
+    CAPTURE(Item.Text);
+    LoopbackPeer Peer(Bed.Context, Bed.Server.port());
+    Peer.send(Item.Text);
+    REQUIRE(Peer.waitFor(Item.Status));
+    CHECK(Peer.waitForEnd());
+  }
+  CHECK(Bed.Requests.empty());
+}
+
+TEST_CASE("A client that is too slow with its request gets 408", "[http1]") {
+  ServerBed Bed;
+  Bed.Server.setLimits({{200, 10}, 50ms, 1s, 1s, 10});
+  LoopbackPeer Peer(Bed.Context, Bed.Server.port());
+  Peer.send("GET / HTTP/1.1\r\nHos");
+  CHECK(Peer.waitFor("HTTP/1.1 408"));
+}
+
+TEST_CASE("A client that leaves cancels its request", "[http1]") {
+  ServerBed Bed;
+  Bed.Hold = std::make_unique<OneShotEvent>(Bed.Context.get_executor());
+  LoopbackPeer Peer(Bed.Context, Bed.Server.port());
+  Peer.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(runUntil(Bed.Context, [&] { return Bed.Requests.size() == 1; }));
+  CHECK(Bed.Server.activeRequests() == 1);
+  Peer.close();
+  CHECK(runUntil(Bed.Context, [&] { return Bed.Cancelled == 1; }));
+  Bed.Hold->set();
+  CHECK(
+      runUntil(Bed.Context, [&] { return Bed.Server.activeRequests() == 0; }));
+}
+
+TEST_CASE("A server that stops answers what runs and ends idle connections",
+          "[http1]") {
+  ServerBed Bed;
+  Bed.Hold = std::make_unique<OneShotEvent>(Bed.Context.get_executor());
+  LoopbackPeer Busy(Bed.Context, Bed.Server.port());
+  LoopbackPeer Idle(Bed.Context, Bed.Server.port());
+  Busy.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(runUntil(Bed.Context, [&] {
+    return Bed.Requests.size() == 1 && Bed.Server.connections() == 2;
+  }));
+  Bed.Server.closeAfterAnswers();
+  Bed.Server.stopAccepting();
+  Bed.Server.closeIdle();
+  CHECK(Idle.waitForEnd());
+  CHECK_FALSE(Busy.Ended);
+  Bed.Hold->set();
+  CHECK(Busy.waitFor("body of /1"));
+  CHECK(Busy.Received.find("Connection: close") != std::string::npos);
+}
--- a/src/libs/http1/tst_LinkPool.cpp
+++ b/src/libs/http1/tst_LinkPool.cpp
@@ -1,1 +1,199 @@
+#include "http1/LinkPool.h"
+
+#include "base/Errc.h"
+#include "http1/LoopbackPeer.h"
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
 #include <catch2/catch.hpp>
+
+using namespace rr;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A server that writes scripted bytes for each request that it reads.
+struct ScriptedServer {
+  explicit ScriptedServer(asio::io_context &Context)
+      : Context(Context),
+        Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0}) {
+    this->accept();
+  }
+
+  struct Session {
+    explicit Session(asio::ip::tcp::socket Opened)
+        : Socket(std::move(Opened)) {}
+    asio::ip::tcp::socket Socket;
+    std::string Read;
+    char Buffer[4096];
+  };
+
+  void accept() {
+    this->Acceptor.async_accept([this](const asio::error_code &Error,
+                                       asio::ip::tcp::socket Socket) {
+      if (Error)
+        return;
+      ++this->Connections;
+      this->serve(std::make_shared<Session>(std::move(Socket)));
+      this->accept();
+    });
+  }
+
+  void serve(const std::shared_ptr<Session> &S) {
+    S->Socket.async_read_some(
+        asio::buffer(S->Buffer),
+        [this, S](const asio::error_code &Error, std::size_t Length) {
+          if (Error)
+            return;
+          S->Read.append(S->Buffer, Length);
+          if (S->Read.find("\r\n\r\n") != std::string::npos) {
+            S->Read.clear();
+            ++this->Requests;
+            asio::error_code Ignored;
+            if (!this->Answers.empty()) {
+              asio::write(S->Socket, asio::buffer(this->Answers.front()),
+                          Ignored);
+              this->Answers.erase(this->Answers.begin());
+            }
+            if (this->CloseAfterAnswer) {
+              S->Socket.close(Ignored);
+              return;
+            }
+          }
+          this->serve(S);
+        });
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" +
+           std::to_string(this->Acceptor.local_endpoint().port());
+  }
+
+  asio::io_context &Context;
+  asio::ip::tcp::acceptor Acceptor;
+  std::vector<std::string> Answers;
+  bool CloseAfterAnswer = false;
+  int Connections = 0;
+  int Requests = 0;
+};
+
+struct PoolBed {
+  ExchangeResult call(Clock::duration Timeout = 5s,
+                      const CancellationPtr &Cancel = nullptr) {
+    LinkPool::Call Call;
+    Call.Address = this->Server.address();
+    Call.Request.Method = "GET";
+    Call.Request.Target = "/";
+    Call.Request.Headers = {{"Host", "h"}};
+    Call.ConnectDeadline = Call.Deadline = Clock::now() + Timeout;
+    Call.Cancel = Cancel;
+    Call.Accepts = [](const HttpMessage &Answer) {
+      const std::string *Id = findHeader(Answer.Headers, "Id");
+      return Id && *Id == "1";
+    };
+    std::optional<ExchangeResult> Result;
+    asio::co_spawn(
+        this->Context,
+        [](LinkPool &Pool, LinkPool::Call Call,
+           std::optional<ExchangeResult> &Target) -> asio::awaitable<void> {
+          Target = co_await Pool.call(std::move(Call));
+        }(this->Pool, std::move(Call), Result),
+        asio::detached);
+    runUntil(this->Context, [&] { return Result.has_value(); });
+    REQUIRE(Result);
+    return std::move(*Result);
+  }
+
+  asio::io_context Context;
+  ScriptedServer Server{this->Context};
+  LinkPool Pool{this->Context, 4, {}};
+};
+
+std::string answer(const std::string &Id, const std::string &Body) {
+  return "HTTP/1.1 200 OK\r\nId: " + Id +
+         "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
+}
+
+} // namespace
+
+TEST_CASE("A connection is kept and used again", "[links]") {
+  PoolBed Bed;
+  Bed.Server.Answers = {answer("1", "a"), answer("1", "b")};
+  CHECK(Bed.call().Answer.Body == "a");
+  const ExchangeResult Second = Bed.call();
+  CHECK(Second.Answer.Body == "b");
+  CHECK(Second.Reused);
+  CHECK(Bed.Server.Connections == 1);
+}
+
+TEST_CASE("An answer that belongs to another request is skipped", "[links]") {
+  PoolBed Bed;
+  Bed.Server.Answers = {answer("0", "late") + answer("1", "own")};
+  CHECK(Bed.call().Answer.Body == "own");
+}
+
+TEST_CASE("A second answer is given to nobody, and its connection is not used "
+          "again",
+          "[links]") {
+  PoolBed Bed;
+  Bed.Server.Answers = {answer("1", "a") + answer("1", "again"),
+                        answer("1", "b")};
+  CHECK(Bed.call().Answer.Body == "a");
+  CHECK(Bed.call().Answer.Body == "b");
+  CHECK(Bed.Server.Connections == 2);
+}
+
+TEST_CASE("An answer that is cut short, or none at all, is an error, and the "
+          "request is not sent again",
+          "[links]") {
+  for (const std::string &Bytes :
+       {std::string("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nab"),
+        std::string("not an answer\r\n\r\n"), std::string()}) {
+    CAPTURE(Bytes);
+    PoolBed Bed;
+    Bed.Server.Answers = {Bytes};
+    Bed.Server.CloseAfterAnswer = true;
+    const ExchangeResult Result = Bed.call();
+    CHECK(Result.Error);
+    CHECK(Result.MayHaveBeenSent);
+    CHECK(Bed.Server.Requests == 1);
+  }
+}
+
+TEST_CASE("A refused connection proves that nothing was sent", "[links]") {
+  PoolBed Bed;
+  Bed.Server.Acceptor.close();
+  asio::ip::tcp::acceptor Probe(Bed.Context,
+                                {asio::ip::make_address("127.0.0.1"), 0});
+  Bed.Server.Acceptor = std::move(Probe);
+  const std::string Address = Bed.Server.address();
+  Bed.Server.Acceptor.close();
+  LinkPool::Call Call;
+  Call.Address = Address;
+  Call.Request.Method = "GET";
+  Call.Request.Target = "/";
+  Call.ConnectDeadline = Call.Deadline = Clock::now() + 5s;
+  std::optional<ExchangeResult> Result;
+  asio::co_spawn(
+      Bed.Context,
+      [](LinkPool &Pool, LinkPool::Call Call,
+         std::optional<ExchangeResult> &Target) -> asio::awaitable<void> {
+        Target = co_await Pool.call(std::move(Call));
+      }(Bed.Pool, std::move(Call), Result),
+      asio::detached);
+  REQUIRE(runUntil(Bed.Context, [&] { return Result.has_value(); }));
+  CHECK(Result->Error == make_error_code(Errc::ConnectionRefused));
+  CHECK_FALSE(Result->MayHaveBeenSent);
+}
+
+TEST_CASE("A server that stays silent ends with a time-out, and a caller that "
+          "leaves ends the call",
+          "[links]") {
+  PoolBed Bed;
+  CHECK(Bed.call(50ms).Error == make_error_code(Errc::Timeout));
+  const auto Cancel = std::make_shared<Cancellation>();
+  asio::steady_timer Later(Bed.Context, 30ms);
+  Later.async_wait([&](const asio::error_code &) { Cancel->cancel(); });
+  CHECK(Bed.call(5s, Cancel).Error == make_error_code(Errc::Cancelled));
+}
--- a/src/libs/http1/tst_MessageParser.cpp
+++ b/src/libs/http1/tst_MessageParser.cpp
@@ -1,1 +1,108 @@
+#include "http1/MessageParser.h"
+#include "http1/MessageText.h"
+
 #include <catch2/catch.hpp>
+
+using namespace rr;
+
+namespace {
+
+ParseError errorOf(const std::string &Text, ParserLimits Limits = {}) {
+  MessageParser Parser(MessageParser::Kind::Request, Limits);
+  Parser.feed(Text);
+  return Parser.error();
+}
+
+} // namespace
+
+TEST_CASE("A request is read in any pieces, and bytes behind it are left",
+          "[http1]") {
+  const std::string Text = "POST /a?b HTTP/1.1\r\nHost: h\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n"
+                           "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\nGET /";
+  for (std::size_t Piece = 1; Piece < Text.size(); ++Piece) {
+    MessageParser Parser(MessageParser::Kind::Request, {});
+    std::size_t At = 0;
+    while (At < Text.size() && !Parser.isComplete()) {
+      const std::string_view Bytes =
+          std::string_view(Text).substr(At, Piece);
+      At += Parser.feed(Bytes);
+    }
+    REQUIRE(Parser.isComplete());
+    CHECK(Text.substr(At) == "GET /");
+    const HttpMessage Request = Parser.take();
+    CHECK(Request.Method == "POST");
+    CHECK(Request.Target == "/a?b");
+    CHECK(Request.Body == "abcde");
+  }
+}
+
+TEST_CASE("Requests that could be read in two ways are malformed", "[http1]") {
+  const char *const Requests[] = {
+      "GET / HTTP/1.1\r\nHost : h\r\n\r\n",
+      "GET / HTTP/1.1\r\n\r\n",
+      "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+      "GET / HTTP/2.0\r\nHost: a\r\n\r\n",
+      "GET / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+      "Content-Length: 4\r\n\r\nabcd",
+      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+      "nonsense\r\n\r\n",
+  };
+  for (const char *Request : Requests) {
+    CAPTURE(Request);
+    CHECK(errorOf(Request) == ParseError::Malformed);
+  }
+}
+
+TEST_CASE("Headers and bodies beyond the limits are told apart", "[http1]") {
+  const ParserLimits Limits{100, 10};
+  CHECK(errorOf("GET / HTTP/1.1\r\nHost: h\r\nA: " + std::string(200, 'a') +
+                    "\r\n\r\n",
+                Limits) == ParseError::HeaderTooLarge);
+  CHECK(errorOf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n",
+                Limits) == ParseError::BodyTooLarge);
+  CHECK(errorOf("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked"
+                "\r\n\r\nb\r\n01234567890\r\n",
+                Limits) == ParseError::BodyTooLarge);
+}
+
+TEST_CASE("An answer without a length is complete only when its connection "
+          "ends in an orderly way",
+          "[http1]") {
+  MessageParser Parser(MessageParser::Kind::Answer, {});
+  Parser.feed("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nabc");
+  CHECK_FALSE(Parser.isComplete());
+  Parser.finish();
+  CHECK(Parser.isComplete());
+  CHECK(Parser.take().Body == "abc");
+}
+
+TEST_CASE("An answer that is cut short is never complete", "[http1]") {
+  const char *const Answers[] = {
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+      "HTTP/1.1 200 OK\r\nContent-Len",
+  };
+  for (const char *Answer : Answers) {
+    CAPTURE(Answer);
+    MessageParser Parser(MessageParser::Kind::Answer, {});
+    Parser.feed(Answer);
+    Parser.finish();
+    CHECK_FALSE(Parser.isComplete());
+    CHECK(Parser.error() == ParseError::Malformed);
+  }
+}
+
+TEST_CASE("Fields of one connection are not passed on", "[http1]") {
+  HttpHeaders Headers = {{"Connection", "close, X-Private"},
+                         {"X-Private", "1"},
+                         {"Keep-Alive", "timeout=4"},
+                         {"Transfer-Encoding", "chunked"},
+                         {"Content-Length", "3"},
+                         {"X-Kept", "1"}};
+  removeHopByHopHeaders(Headers);
+  REQUIRE(Headers.size() == 1);
+  CHECK(Headers.front().Name == "X-Kept");
+}
