--- a/src/features/gateway/MoveKeeper.cpp
+++ b/src/features/gateway/MoveKeeper.cpp
@@ -22,6 +22,7 @@
                          const VersionSteering &Steering) {
   MoveEvidence Evidence;
   Evidence.Bad = Steering.isStopped();
+  Evidence.Suspect = Steering.isSuspect();
   Evidence.TargetRequests = Steering.candidateRequests();
   Evidence.ReadyServers = readyServers(State, Move);
   Evidence.StoreTime = State.Members.storeTime();
--- a/src/features/gateway/SteeringInstance.cpp
+++ b/src/features/gateway/SteeringInstance.cpp
@@ -4,6 +4,7 @@
 #include "gateway/BootTime.h"
 #include "gateway/GatewayReplies.h"
 #include "logging/EventLog.h"
+#include "steering/RegionMix.h"
 
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
@@ -203,6 +204,8 @@
             this->State.Backends.versions(Item.first), Now);
     if (!this->WasReady && this->isReady()) {
       this->WasReady = true;
+      this->State.Shifts.setStart(regionMix(this->State.Backends.all(),
+                                            this->State.Settings.Region));
       logEvent(Event::SteeringReady);
     }
     co_await sleepFor(HousePeriod);
--- a/src/features/steering/BackendPool.cpp
+++ b/src/features/steering/BackendPool.cpp
@@ -62,6 +62,13 @@
   return Found == this->ByService.end() ? None : Found->second;
 }
 
+std::vector<BackendPtr> BackendPool::all() const {
+  std::vector<BackendPtr> Result;
+  for (const auto &Item : this->ById)
+    Result.push_back(Item.second);
+  return Result;
+}
+
 BackendPtr BackendPool::find(const std::string &Id) const {
   const auto Found = this->ById.find(Id);
   return Found == this->ById.end() ? nullptr : Found->second;
--- a/src/features/steering/BackendPool.h
+++ b/src/features/steering/BackendPool.h
@@ -29,6 +29,7 @@
   BackendPtr remove(const std::string &Id);
 
   const std::vector<BackendPtr> &ofService(const std::string &Service) const;
+  std::vector<BackendPtr> all() const;
   BackendPtr find(const std::string &Id) const;
   std::vector<std::string> ids() const;
   /// Versions of a service's servers.
--- a/src/features/steering/MoveRule.cpp
+++ b/src/features/steering/MoveRule.cpp
@@ -18,11 +18,14 @@
 /// bad version that shows late has had few requests.
 constexpr std::array Stages = {
     Stage{0.05, 0.25, std::chrono::milliseconds(3000)},
-    Stage{0.3, 0.10, std::chrono::milliseconds(1500)},
+    Stage{0.15, 0.08, std::chrono::milliseconds(1300)},
+    Stage{0.35, 0.08, std::chrono::milliseconds(1300)},
     Stage{1.0, 0.12, std::chrono::milliseconds(2000)},
 };
 /// Answers of the target before its share grows beyond the first stage.
 constexpr std::uint64_t LeastAnswers = 15;
+/// A target that is still suspect after this part of the time is taken back.
+constexpr double LongestSuspicion = 0.75;
 /// A service with little traffic does not wait for them beyond this part.
 constexpr double LongestFirstStage = 0.45;
 
@@ -80,6 +83,14 @@
     Next.Share = 0;
     return Next;
   }
+  if (Evidence.Suspect && Move.Share < 1) {
+    const Clock::duration Passed = Evidence.StoreTime - Move.StartedAt;
+    if (Passed < part(Move.Duration, LongestSuspicion))
+      return std::nullopt;
+    Next.State = VersionMove::Phase::RolledBack;
+    Next.Share = 0;
+    return Next;
+  }
   const std::size_t Index = stageOf(Move.Share);
   const Stage &Current = Stages[Index];
   const Clock::duration InStage = Evidence.StoreTime - Move.StageAt;
--- a/src/features/steering/MoveRule.h
+++ b/src/features/steering/MoveRule.h
@@ -16,6 +16,8 @@
 struct MoveEvidence {
   /// The target is known to be bad.
   bool Bad = false;
+  /// The target does worse so far, which may be chance.
+  bool Suspect = false;
   /// Requests that the target has answered at all instances.
   std::uint64_t TargetRequests = 0;
   /// Target servers that are not cold.
--- a/src/features/steering/ShiftLimiter.cpp
+++ b/src/features/steering/ShiftLimiter.cpp
@@ -31,10 +31,10 @@
 
 std::set<std::string> ShiftLimiter::fullRegions(Clock::time_point Now) {
   this->expire(Now);
-  std::map<std::string, int> Current;
-  std::map<std::string, int> Previous;
-  int CurrentTotal = 0;
-  int PreviousTotal = 0;
+  std::map<std::string, double> Current;
+  std::map<std::string, double> Previous;
+  double CurrentTotal = 0;
+  double PreviousTotal = 0;
   for (const Bucket &Item : this->Buckets) {
     const bool IsCurrent = Item.Start > Now - Window;
     for (const auto &[Region, Count] : Item.Counts) {
@@ -42,12 +42,18 @@
       (IsCurrent ? CurrentTotal : PreviousTotal) += Count;
     }
   }
+  // The start fills a window that has few requests.
+  const double Missing = std::max(0.0, FewRequests - PreviousTotal);
+  for (const auto &[Region, Share] : this->Start) {
+    Previous[Region] += Share * Missing;
+    PreviousTotal += Share * Missing;
+  }
   std::set<std::string> Full;
-  if (PreviousTotal < FewRequests)
+  if (PreviousTotal < FewRequests - 1)
     return Full;
-  const double Total = std::max(CurrentTotal + 1, FewRequests);
+  const double Total = std::max(CurrentTotal + 1, double(FewRequests));
   for (const auto &[Region, Count] : Current) {
-    const double Before = double(Previous[Region]) / PreviousTotal;
+    const double Before = Previous[Region] / PreviousTotal;
     if ((Count + 1) / Total > Before + UsedPart * this->MostShift)
       Full.insert(Region);
   }
--- a/src/features/steering/ShiftLimiter.h
+++ b/src/features/steering/ShiftLimiter.h
@@ -17,6 +17,12 @@
   /// \p MostShift is the share of requests that may change their region.
   explicit ShiftLimiter(double MostShift) : MostShift(MostShift) {}
 
+  /// Shares by region that count as those of the time before the first
+  /// request.
+  void setStart(std::map<std::string, double> Shares) {
+    this->Start = std::move(Shares);
+  }
+
   /// Regions that must get no more requests for now.
   std::set<std::string> fullRegions(Clock::time_point Now);
   void note(const std::string &Region, Clock::time_point Now);
@@ -29,6 +35,7 @@
   void expire(Clock::time_point Now);
 
   double MostShift;
+  std::map<std::string, double> Start;
   std::deque<Bucket> Buckets;
 };
 
--- a/src/features/steering/VersionSteering.cpp
+++ b/src/features/steering/VersionSteering.cpp
@@ -14,6 +14,9 @@
 constexpr double SmallShare = 0.1;
 /// Largest share of a rare route while the share is small.
 constexpr double MostRareShare = 0.5;
+/// A target is suspect from this many answers and this much more that is bad.
+constexpr std::uint64_t LeastSuspectRequests = 6;
+constexpr double SuspectMargin = 0.12;
 constexpr double MostRouteRequests = 400;
 /// Moves last seconds, not hours: less evidence than for long rollouts.
 constexpr VersionRule MoveRule{.LeastEvents = 3,
@@ -37,6 +40,7 @@
   this->Stopped = false;
   this->Stats = {};
   this->Stats.Plan = New.Target;
+  this->OtherStats.clear();
   this->Comparison.emplace(Stable, New.Target, MoveRule);
 }
 
@@ -123,7 +127,7 @@
     return false;
   const std::string &Name =
       Version == this->Order->Target ? Version : Stable;
-  const VersionCounts Counts{1, Failed ? 1U : 0U, Slow ? 1U : 0U};
+  const VersionCounts Counts{1, Failed ? 1U : 0U, Slow && !Failed ? 1U : 0U};
   this->Stats.Counts[{Route, Name}] += Counts;
   this->Comparison->record(Route, Name, Counts, Now);
   return Name != Stable && (Failed || Slow) && this->check(Now);
@@ -134,10 +138,37 @@
   if (!this->Comparison || !this->Order ||
       Report.Target != this->Order->Target)
     return false;
+  this->OtherStats[Source] = Report.Stats;
   this->Comparison->observe(Source, Report.Stats, Now);
   return this->check(Now);
 }
 
+bool VersionSteering::isSuspect() const {
+  struct Pair {
+    VersionCounts Target;
+    VersionCounts Old;
+  };
+  std::map<std::string, Pair> ByRoute;
+  const auto Add = [&](const VersionStats &Counted) {
+    for (const auto &[Key, Counts] : Counted.Counts)
+      for (const std::string &Route : {Key.first, std::string()})
+        (Key.second == Stable ? ByRoute[Route].Old : ByRoute[Route].Target) +=
+            Counts;
+  };
+  Add(this->Stats);
+  for (const auto &Item : this->OtherStats)
+    Add(Item.second);
+  const auto BadShare = [](const VersionCounts &Counts) {
+    const double Bad = double(Counts.Failures + Counts.Slow);
+    return Counts.Requests == 0 ? 0 : Bad / double(Counts.Requests);
+  };
+  return std::any_of(ByRoute.begin(), ByRoute.end(), [&](const auto &Item) {
+    const Pair &Counts = Item.second;
+    return Counts.Target.Requests >= LeastSuspectRequests &&
+           BadShare(Counts.Target) > BadShare(Counts.Old) + SuspectMargin;
+  });
+}
+
 bool VersionSteering::check(Clock::time_point Now) {
   const bool Over =
       this->Move && this->Move->Target == this->Order->Target &&
--- a/src/features/steering/VersionSteering.h
+++ b/src/features/steering/VersionSteering.h
@@ -42,6 +42,9 @@
                Clock::time_point Now);
 
   bool isStopped() const { return this->Stopped; }
+  /// The target does worse so far, on all routes or on one, although that may
+  /// still be chance.
+  bool isSuspect() const;
   const std::optional<VersionOrder> &currentOrder() const { return this->Order; }
   const std::optional<VersionMove> &move() const { return this->Move; }
   /// For the other instances; empty without a running move.
@@ -60,6 +63,8 @@
   bool Stopped = false;
   std::optional<VersionComparison> Comparison;
   VersionStats Stats;
+  /// Counts of the other instances.
+  std::map<std::string, VersionStats> OtherStats;
   /// Requests by route, halved now and then.
   std::map<std::string, double> RouteRequests;
   std::map<std::string, double> Credits;
--- a/src/features/steering/tst_FleetSums.cpp
+++ b/src/features/steering/tst_FleetSums.cpp
@@ -1,6 +1,7 @@
 #include "steering/ColdGate.h"
 #include "steering/MemberView.h"
 #include "steering/QuotaGate.h"
+#include "steering/RegionMix.h"
 #include "steering/ShiftLimiter.h"
 #include "steering/StableHash.h"
 #include "steering/SteeringTestBed.h"
@@ -209,3 +210,30 @@
   CHECK(Away <= 200 * 0.15);
   Clock::resume();
 }
+
+TEST_CASE("The first requests follow the mix of the regions' slots, so that "
+          "the share does not jump in the second window",
+          "[shift]") {
+  Clock::pause();
+  BackendPool Pool({{"s-a", "s"}, {"l-a", "l"}, {"m-a", "m"}});
+  Pool.apply(testBackend("s0", "s-a", 3), Clock::now());
+  for (const char *Id : {"l0", "l11", "l222", "l3333"})
+    Pool.apply(testBackend(Id, "l-a", 3), Clock::now());
+  for (const char *Id : {"m0", "m11", "m222", "m3333"})
+    Pool.apply(testBackend(Id, "m-a", 3), Clock::now());
+  const auto Mix = regionMix(Pool.all(), "s");
+  CHECK(Mix.at("s") == Approx(1.0 / 3));
+  CHECK(Mix.at("l") == Approx(1.0 / 3));
+  CHECK(regionMix(Pool.all(), "l").at("l") == 1);
+  ShiftLimiter Limiter(0.15);
+  Limiter.setStart(Mix);
+  int Own = 0;
+  for (int Step = 0; Step < 100; ++Step) {
+    Clock::advance(20ms);
+    const bool Full = Limiter.fullRegions(Clock::now()).count("s");
+    Limiter.note(Full ? "l" : "s", Clock::now());
+    Own += Full ? 0 : 1;
+  }
+  CHECK(Own < 50);
+  Clock::resume();
+}
