Refuse what would exceed the cap on shifts while no server is lost

Cause: when a region's servers and the next homes were full, requests moved to other regions beyond the cap. Conclusion: the cap gives way only within 8 s of a lost server, an evacuation or a drain.

--- a/src/features/gateway/BackendBook.cpp
+++ b/src/features/gateway/BackendBook.cpp
@@ -43,6 +43,8 @@
   const BackendPtr Before = this->State.Backends.find(Row.Key);
   const bool WasDraining = Before && Before->Record.Draining;
   const BackendPtr Replaced = this->State.Backends.apply(*Record, Now);
+  if (Replaced || (Record->Draining && !WasDraining))
+    this->State.LastLoss = Now;
   if (Replaced && this->Left)
     this->Left(Replaced->Record.Address);
   if (!Before || Replaced)
@@ -64,6 +66,7 @@
   }
   this->Missing.erase(Id);
   const BackendPtr Removed = this->State.Backends.remove(Id);
+  this->State.LastLoss = Clock::now();
   logEvent(Event::BackendGone, {{"server", Id}});
   if (this->Left)
     this->Left(Removed->Record.Address);
--- a/src/features/gateway/Gateway.cpp
+++ b/src/features/gateway/Gateway.cpp
@@ -28,6 +28,8 @@
 constexpr double SlowVersionFactor = 2;
 /// Used part of the retry budget; the rest is for differences in counting.
 constexpr double BudgetPart = 0.7;
+/// The cap on shifts gives way for this long after a server was lost.
+constexpr Clock::duration LossTime = std::chrono::seconds(8);
 /// When a refused caller comes back: about one request's work later, spread
 /// so that those refused together do not return together.
 constexpr Clock::duration LeastComeBack = std::chrono::milliseconds(150);
@@ -110,7 +112,11 @@
   Query.TimeLeft = Request.Limit - Now - AnswerMargin;
   Query.Homes = Request.Homes;
   Query.Evacuated = &this->State.Evacuated;
-  Query.FullRegions = this->State.Shifts.fullRegions(Now);
+  ShiftLimiter::Verdict Shifts = this->State.Shifts.judge(Now);
+  Query.FullRegions = std::move(Shifts.Full);
+  // Requests of lost servers move at once.
+  if (Now - this->State.LastLoss > LossTime)
+    Query.ClosedRegions = std::move(Shifts.Closed);
   Query.Tried = Sofar.Tried;
   Query.Version = Sofar.Versions.Only;
   Query.AvoidedVersions = Sofar.Versions.Avoided;
@@ -171,6 +177,7 @@
     return;
   if (Done.Result == AttemptResult::Unreachable ||
       Done.Result == AttemptResult::WrongServer) {
+    this->State.LastLoss = Now;
     noteUnreachable(Server, Now);
     this->Links.drop(Record.Address);
     this->Log.write(Event::ServerEjected,
@@ -189,6 +196,8 @@
   const bool Answered = Done.Result == AttemptResult::Answered;
   const bool Failed = (!Answered && Done.Result != AttemptResult::NotRun) ||
                       (Answered && isServerError(Done.Exchange.Answer));
+  if (!Answered && Done.Result != AttemptResult::NotRun)
+    this->State.LastLoss = Now;
   noteAttempt(Server, Failed || Done.Result == AttemptResult::NotRun, Now);
   if (Done.Result == AttemptResult::NotRun)
     return;
--- a/src/features/gateway/OrderBook.cpp
+++ b/src/features/gateway/OrderBook.cpp
@@ -60,6 +60,7 @@
         *Move, this->State.Backends.versions(Move->Service));
   else if (const auto *Evacuation = std::get_if<EvacuationOrder>(&*Order)) {
     this->Evacuations[Row.Key] = Evacuation->Zone;
+    this->State.LastLoss = Clock::now();
     if (this->State.Evacuated.insert(Evacuation->Zone).second)
       logEvent(Event::ZoneEvacuated, {{"zone", Evacuation->Zone}});
   }
@@ -84,6 +85,7 @@
   const std::string Zone = Found->second;
   this->Evacuations.erase(Found);
   this->State.Evacuated.erase(Zone);
+  this->State.LastLoss = Clock::now();
   // The zone's servers may have been restarted meanwhile.
   this->State.Backends.suspectCold(Zone);
   logEvent(Event::ZoneReturned, {{"zone", Zone}});
--- a/src/features/gateway/SteeringState.h
+++ b/src/features/gateway/SteeringState.h
@@ -49,6 +49,8 @@
   /// By service.
   std::map<std::string, VersionSteering> Versions;
   std::map<std::string, RetryBudget> Retries;
+  /// Last time that a server was lost, left or failed.
+  Clock::time_point LastLoss{};
   /// The tables of backends and members were read at least once.
   bool BackendsKnown = false;
   bool MembersKnown = false;
--- a/src/features/steering/PlacementQuery.h
+++ b/src/features/steering/PlacementQuery.h
@@ -29,6 +29,8 @@
   const std::set<std::string> *Evacuated = nullptr;
   /// Regions that have had their share of moves for now.
   std::set<std::string> FullRegions;
+  /// Regions that must get nothing, since more moves would exceed the cap.
+  std::set<std::string> ClosedRegions;
   /// Servers that this request was sent to.
   std::set<std::string> Tried;
   /// Only servers of this version, when set.
--- a/src/features/steering/PlacementRule.cpp
+++ b/src/features/steering/PlacementRule.cpp
@@ -129,7 +129,7 @@
     if (!mayRun(Query, *Server, Now))
       continue;
     Candidate Item = assess(Query, Server, Homes, Times, Network, Now);
-    if (Item.Full)
+    if (Item.Full || Query.ClosedRegions.count(Server->Region))
       Result.Outcome = Placement::Result::Full;
     else
       Candidates.push_back(std::move(Item));
--- a/src/features/steering/ShiftLimiter.cpp
+++ b/src/features/steering/ShiftLimiter.cpp
@@ -11,6 +11,8 @@
 /// Part of the allowed shift that one instance uses; the rest is for chance
 /// and for what the other instances of the region do.
 constexpr double UsedPart = 0.6;
+/// Part that is used when there is no room elsewhere.
+constexpr double LastPart = 0.9;
 /// With fewer requests in a window, shares say nothing.
 constexpr int FewRequests = 12;
 
@@ -29,7 +31,7 @@
   ++this->Buckets.back().Counts[Region];
 }
 
-std::set<std::string> ShiftLimiter::fullRegions(Clock::time_point Now) {
+ShiftLimiter::Verdict ShiftLimiter::judge(Clock::time_point Now) {
   this->expire(Now);
   std::map<std::string, double> Current;
   std::map<std::string, double> Previous;
@@ -48,16 +50,19 @@
     Previous[Region] += Share * Missing;
     PreviousTotal += Share * Missing;
   }
-  std::set<std::string> Full;
+  Verdict Result;
   if (PreviousTotal < FewRequests - 1)
-    return Full;
+    return Result;
   const double Total = std::max(CurrentTotal + 1, double(FewRequests));
   for (const auto &[Region, Count] : Current) {
     const double Before = Previous[Region] / PreviousTotal;
-    if ((Count + 1) / Total > Before + UsedPart * this->MostShift)
-      Full.insert(Region);
+    const double Grown = (Count + 1) / Total - Before;
+    if (Grown > UsedPart * this->MostShift)
+      Result.Full.insert(Region);
+    if (Grown > LastPart * this->MostShift)
+      Result.Closed.insert(Region);
   }
-  return Full;
+  return Result;
 }
 
 } // namespace rr
--- a/src/features/steering/ShiftLimiter.h
+++ b/src/features/steering/ShiftLimiter.h
@@ -23,8 +23,14 @@
     this->Start = std::move(Shares);
   }
 
-  /// Regions that must get no more requests for now.
-  std::set<std::string> fullRegions(Clock::time_point Now);
+  /// Which regions have had their share of moves for now.
+  struct Verdict {
+    /// Should get requests only when others have no room.
+    std::set<std::string> Full;
+    /// Must get none, unless servers have been lost.
+    std::set<std::string> Closed;
+  };
+  Verdict judge(Clock::time_point Now);
   void note(const std::string &Region, Clock::time_point Now);
 
 private:
--- a/src/features/steering/tst_FleetSums.cpp
+++ b/src/features/steering/tst_FleetSums.cpp
@@ -201,8 +201,8 @@
     Clock::advance(10ms);
     // From the fourth second on, everything would go to the other region.
     const bool Wants = Step >= 400;
-    const auto Full = Limiter.fullRegions(Clock::now());
-    const bool Goes = Wants && !Full.count("other");
+    const auto Shifts = Limiter.judge(Clock::now());
+    const bool Goes = Wants && !Shifts.Closed.count("other");
     Limiter.note(Goes ? "other" : "own", Clock::now());
     Away += Goes && Step < 600 ? 1 : 0;
   }
@@ -230,7 +230,7 @@
   int Own = 0;
   for (int Step = 0; Step < 100; ++Step) {
     Clock::advance(20ms);
-    const bool Full = Limiter.fullRegions(Clock::now()).count("s");
+    const bool Full = Limiter.judge(Clock::now()).Full.count("s");
     Limiter.note(Full ? "l" : "s", Clock::now());
     Own += Full ? 0 : 1;
   }
--- a/src/features/steering/tst_PlacementRule.cpp
+++ b/src/features/steering/tst_PlacementRule.cpp
@@ -127,6 +127,18 @@
   }
 }
 
+TEST_CASE("A request is refused before it exceeds the cap on shifts",
+          "[placement]") {
+  Site S;
+  for (const BackendPtr &Server : S.Pool.ofService("stock"))
+    if (Server->Region == "s")
+      fill(*Server, 30);
+  S.Query.FullRegions = {"l"};
+  CHECK(S.choose().Server->Region == "l");
+  S.Query.ClosedRegions = {"l"};
+  CHECK(S.choose().Outcome == Placement::Result::Full);
+}
+
 TEST_CASE("A cold server gets a request only with a permit", "[placement]") {
   Site S;
   const BackendPtr First = S.choose().Server;
