--- a/src/features/gateway/MemberBook.cpp
+++ b/src/features/gateway/MemberBook.cpp
@@ -11,6 +11,9 @@
 const std::string MemberPrefix = "instance/";
 const std::string MovePrefix = "move/";
 
+/// Beyond this the store counts as away.
+constexpr Clock::duration LongestReadGap = std::chrono::milliseconds(3500);
+
 bool startsWith(const std::string &Text, const std::string &Prefix) {
   return Text.compare(0, Prefix.size(), Prefix) == 0;
 }
@@ -37,11 +40,19 @@
 }
 
 void MemberBook::applyChanges(const TableRows &Rows) {
+  this->ReadStoreTime = Rows.StoreTime;
+  this->ReadAt = Clock::now();
   this->State.Members.setStoreTime(Rows.StoreTime);
   for (const TableRow &Row : Rows.Rows)
     this->apply(Row);
 }
 
+void MemberBook::advanceStoreTime(Clock::time_point Now) {
+  const Clock::duration Passed = Now - this->ReadAt;
+  if (this->State.MembersKnown && Passed < LongestReadGap)
+    this->State.Members.setStoreTime(this->ReadStoreTime + Passed);
+}
+
 void MemberBook::apply(const TableRow &Row) {
   if (startsWith(Row.Key, MovePrefix))
     this->applyMove(Row);
--- a/src/features/gateway/MemberBook.h
+++ b/src/features/gateway/MemberBook.h
@@ -23,6 +23,10 @@
   void applySnapshot(const TableRows &Rows);
   void applyChanges(const TableRows &Rows);
 
+  /// Lets the estimate of the store's clock run on between two reads, but not
+  /// through an outage.
+  void advanceStoreTime(Clock::time_point Now);
+
   /// This instance's row.
   TableWrite ownRow(Clock::time_point Now) const;
   /// The row with the state of a move, under the condition that nobody has
@@ -43,6 +47,9 @@
 
   SteeringState &State;
   std::string Incarnation;
+  /// The store's clock at the last read, and when that was.
+  Clock::duration ReadStoreTime{0};
+  Clock::time_point ReadAt{};
   /// By service.
   std::map<std::string, std::uint64_t> MoveVersions;
   std::function<void(const std::string &)> VersionStopped;
--- a/src/features/gateway/SteeringInstance.cpp
+++ b/src/features/gateway/SteeringInstance.cpp
@@ -17,15 +17,16 @@
 
 namespace {
 
-/// Orders must be in force within seconds, and this also bounds how old the
-/// proof of the keys is.
-constexpr Clock::duration OrderWait = std::chrono::milliseconds(1500);
-/// Entries of backend servers change many times a second; they are read
-/// together.
-constexpr Clock::duration BackendPeriod = std::chrono::milliseconds(700);
-constexpr Clock::duration MemberPeriod = std::chrono::milliseconds(1200);
-constexpr Clock::duration AnnouncePeriod = std::chrono::milliseconds(2000);
-constexpr Clock::duration BusyAnnouncePeriod = std::chrono::milliseconds(700);
+/// Bounds how old the proof of the keys is. A call that is lost on the way is
+/// given up in time for another one before the proof ends.
+constexpr Clock::duration OrderWait = std::chrono::milliseconds(2200);
+/// Entries of backend servers change many times a second and are read
+/// together. A server that drains gets nothing more about one period later.
+constexpr Clock::duration BackendPeriod = std::chrono::milliseconds(1000);
+constexpr Clock::duration MemberPeriod = std::chrono::milliseconds(2000);
+constexpr Clock::duration AnnouncePeriod = std::chrono::milliseconds(2400);
+/// Both while a version moves.
+constexpr Clock::duration BusyPeriod = std::chrono::milliseconds(700);
 constexpr Clock::duration HousePeriod = std::chrono::milliseconds(250);
 constexpr std::size_t MostAddresses = 64;
 /// A stopping instance takes requests until callers have a new list, and then
@@ -185,8 +186,8 @@
     }
     const bool Busy = this->Moves.isBusy() || !this->State.MembersKnown;
     asio::error_code Ignored;
-    this->AnnounceTimer.expires_after(Busy ? BusyAnnouncePeriod
-                                           : AnnouncePeriod);
+    this->MemberTable.setPeriod(Busy ? BusyPeriod : MemberPeriod);
+    this->AnnounceTimer.expires_after(Busy ? BusyPeriod : AnnouncePeriod);
     co_await this->AnnounceTimer.async_wait(
         asio::redirect_error(asio::use_awaitable, Ignored));
   }
@@ -196,6 +197,7 @@
   while (!this->Stopped) {
     const Clock::time_point Now = Clock::now();
     this->Requests.links().dropExpired();
+    this->Members.advanceStoreTime(Now);
     this->State.ColdServers.expire(Now);
     this->Backends.settle(this->BackendTable.isSettling());
     if (this->State.Config)
--- a/src/features/gateway/TableWatch.h
+++ b/src/features/gateway/TableWatch.h
@@ -37,6 +37,7 @@
   /// Runs until stop().
   asio::awaitable<void> run();
   void stop() { this->Stopped = true; }
+  void setPeriod(Clock::duration Period) { this->Chosen.Period = Period; }
   bool isSettling() const {
     return this->Contact.isSettling(Clock::now());
   }
--- a/src/features/steering/MemberView.cpp
+++ b/src/features/steering/MemberView.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// Two missed records and the delay of the feed.
-constexpr Clock::duration LiveTime = std::chrono::milliseconds(5500);
+/// The period of the records, the time until they are read, and a margin.
+constexpr Clock::duration LiveTime = std::chrono::milliseconds(5200);
 /// A caller gets at least this many addresses if there are as many.
 constexpr std::size_t FewAddresses = 2;
 /// Part of a workspace's rate that is divided evenly, so that demand that
--- a/src/libs/http1/HttpLink.cpp
+++ b/src/libs/http1/HttpLink.cpp
@@ -18,7 +18,7 @@
 
 using asio::ip::tcp;
 
-constexpr std::size_t ReadBytes = 8192;
+constexpr std::size_t ReadBytes = 4096;
 /// Assumed when the server does not name its idle time-out.
 constexpr Clock::duration DefaultIdleTime = std::chrono::seconds(4);
 /// Answers that belong to other requests and are skipped before the
--- a/src/libs/http1/HttpServer.cpp
+++ b/src/libs/http1/HttpServer.cpp
@@ -22,7 +22,7 @@
 
 using asio::ip::tcp;
 
-constexpr std::size_t ReadBytes = 4096;
+constexpr std::size_t ReadBytes = 2048;
 /// A client that pipelines more than this waits in its socket.
 constexpr std::size_t MostPipelinedBytes = 64U << 10;
 constexpr Clock::duration AcceptPause = std::chrono::milliseconds(20);
