--- a/src/features/gateway/FakeTables.cpp
+++ b/src/features/gateway/FakeTables.cpp
@@ -37,6 +37,7 @@
 FakeTables::readChanges(std::string Table, std::uint64_t After,
                         Clock::duration Wait) {
   ++this->Calls;
+  this->LastWait = Wait;
   const Clock::time_point End = Clock::now() + Wait;
   for (;;) {
     if (this->Down)
--- a/src/features/gateway/FakeTables.h
+++ b/src/features/gateway/FakeTables.h
@@ -26,6 +26,8 @@
   /// Every call fails without effect.
   bool Down = false;
   int Calls = 0;
+  /// Longest time that the last call for changes offered to wait.
+  Clock::duration LastWait{0};
 
 private:
   struct Entry {
--- a/src/features/gateway/StoreContact.h
+++ b/src/features/gateway/StoreContact.h
@@ -16,6 +16,8 @@
   /// Returns the time to wait before the next attempt.
   Clock::duration failed(Clock::time_point Now, double Jitter);
 
+  bool isFailing() const { return this->Failures > 0; }
+
   /// Entries may have lapsed while the store was away, and come back shortly
   /// after.
   bool isSettling(Clock::time_point Now) const { return Now < this->SettledAt; }
--- a/src/features/gateway/TableWatch.cpp
+++ b/src/features/gateway/TableWatch.cpp
@@ -15,12 +15,15 @@
 asio::awaitable<bool> TableWatch::step() {
   const Clock::time_point Start = bootTime();
   const bool Full = !this->Loaded;
+  // While the store is away, calls that wait there would hide its return.
+  const Clock::duration Wait =
+      this->Contact.isFailing() ? Clock::duration{0} : this->Chosen.Wait;
   Outcome<TableRows> Read = failure(Errc::Unavailable);
   if (Full)
     Read = co_await this->Store.ReadTable(this->Chosen.Table);
   else
     Read = co_await this->Store.ReadChanges(this->Chosen.Table, this->Version,
-                                            this->Chosen.Wait);
+                                            Wait);
   if (this->Stopped)
     co_return true;
   if (!Read && Read.error() == make_error_code(Errc::Stale)) {
@@ -37,9 +40,9 @@
   (Full ? this->Functions.Snapshot : this->Functions.Changes)(*Read);
   // A call that waited in vain shows that nothing had changed by its end.
   const bool WaitedInVain =
-      !Full && Read->Rows.empty() && bootTime() - Start >= this->Chosen.Wait;
+      !Full && Read->Rows.empty() && bootTime() - Start >= Wait;
   if (this->Functions.Confirmed)
-    this->Functions.Confirmed(WaitedInVain ? Start + this->Chosen.Wait : Start);
+    this->Functions.Confirmed(WaitedInVain ? Start + Wait : Start);
   co_return true;
 }
 
