Never wait for a reader of the log; name the request in every refusal

Cause: a reader that stops reading standard output would have stopped the instance, and refusals could not be found by the id of their request. Change: an appender that writes only when the descriptor has room and says how many lines it left out; refusals carry id, reason, configuration and how long the keys are proven.

--- a/src/features/gateway/BoundedLog.h
+++ b/src/features/gateway/BoundedLog.h
@@ -16,7 +16,7 @@
 
 private:
   /// Lines a second; beyond it a line costs more than it tells.
-  static constexpr int LinesPerSecond = 10;
+  static constexpr int LinesPerSecond = 30;
 
   Clock::time_point SecondBegan{};
   int Lines = 0;
--- a/src/features/gateway/Gateway.cpp
+++ b/src/features/gateway/Gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/Gateway.h"
 
 #include "base/Errc.h"
+#include "gateway/BootTime.h"
 #include "gateway/GatewayReplies.h"
 #include "gateway/RequestAdmission.h"
 #include "http1/MessageText.h"
@@ -80,26 +81,38 @@
 };
 
 Gateway::Gateway(asio::io_context &Io, SteeringState &Known)
-    : Context(Io), State(Known),
+    : State(Known),
       Links(Io, KeptLinks, ParserLimits{32U << 10, LargestAnswer}),
       Random(randomSeed()) {}
 
 asio::awaitable<HttpMessage> Gateway::handle(HttpMessage Message,
                                              CancellationPtr Cancel) {
   const double Jitter = std::uniform_real_distribution<>()(this->Random);
+  const std::string *Field =
+      findHeader(Message.Headers, this->State.Settings.Headers.RequestId);
+  const std::string Id = Field ? *Field : "";
   AdmissionVerdict Verdict = admitRequest(this->State, std::move(Message),
                                           Cancel, Jitter, Clock::now());
   if (auto *Refusal = std::get_if<HttpMessage>(&Verdict)) {
-    this->Log.write(
-        Event::RequestNotAdmitted,
-        {{"status", std::to_string(Refusal->Status)},
-         {"reason", Refusal->Body.substr(0, Refusal->Body.size() - 1)}});
+    this->logRefusal(Id, *Refusal);
     co_return std::move(*Refusal);
   }
   co_return co_await this->forward(
       std::move(std::get<GatewayRequest>(Verdict)));
 }
 
+void Gateway::logRefusal(const std::string &Id, const HttpMessage &Refusal) {
+  const auto &Config = this->State.Config;
+  this->Log.write(
+      Event::RequestNotAdmitted,
+      {{"request", Id},
+       {"status", std::to_string(Refusal.Status)},
+       {"reason", Refusal.Body.substr(0, Refusal.Body.size() - 1)},
+       {"config", Config ? std::to_string(Config->Version) : "none"},
+       {"keys_valid_ms",
+        milliseconds(this->State.KeysValidUntil - bootTime())}});
+}
+
 Placement Gateway::place(const GatewayRequest &Request, const Progress &Sofar) {
   const Clock::time_point Now = Clock::now();
   PlacementQuery Query;
--- a/src/features/gateway/Gateway.h
+++ b/src/features/gateway/Gateway.h
@@ -43,6 +43,7 @@
                                    const Progress &Sofar, Placement Where);
   void learn(const GatewayRequest &Request, const Progress &Sofar,
              const Attempt &Done);
+  void logRefusal(const std::string &Id, const HttpMessage &Refusal);
   void logAttempt(const GatewayRequest &Request, const Progress &Sofar,
                   const Attempt &Done) const;
   bool mayRetry(const GatewayRequest &Request, const Progress &Sofar,
@@ -52,7 +53,6 @@
   RetryBudget &budgetOf(const std::string &Service);
   Clock::duration comeBackTime();
 
-  asio::io_context &Context;
   SteeringState &State;
   LinkPool Links;
   RandomEngine Random;
--- a/src/features/gateway/GatewaySettingsFile.cpp
+++ b/src/features/gateway/GatewaySettingsFile.cpp
@@ -3,6 +3,8 @@
 #include "settings/SocketAddress.h"
 #include "settings/TomlReader.h"
 
+#include <unistd.h>
+
 #include <fstream>
 #include <sstream>
 
@@ -87,6 +89,8 @@
     TomlReader Reader = this->section("log");
     Reader.flag("json", Target.Json);
     Reader.text("level", Target.Level);
+    // The log is the program's output.
+    Target.Descriptor = STDOUT_FILENO;
     Reader.refuseUnknown();
   }
 
--- a/src/features/gateway/SteeringInstance.cpp
+++ b/src/features/gateway/SteeringInstance.cpp
@@ -26,7 +26,7 @@
 constexpr Clock::duration MemberPeriod = std::chrono::milliseconds(2000);
 constexpr Clock::duration AnnouncePeriod = std::chrono::milliseconds(2400);
 /// Both while a version moves.
-constexpr Clock::duration BusyPeriod = std::chrono::milliseconds(700);
+constexpr Clock::duration BusyPeriod = std::chrono::milliseconds(500);
 constexpr Clock::duration HousePeriod = std::chrono::milliseconds(250);
 constexpr std::size_t MostAddresses = 64;
 /// A stopping instance takes requests until callers have a new list, and then
--- a/src/features/steering/MoveRule.cpp
+++ b/src/features/steering/MoveRule.cpp
@@ -17,10 +17,10 @@
 /// The first stages are short of a tenth of the traffic together, so that a
 /// bad version that shows late has had few requests.
 constexpr std::array Stages = {
-    Stage{0.05, 0.35, std::chrono::milliseconds(3000)},
-    Stage{0.15, 0.10, std::chrono::milliseconds(1300)},
-    Stage{0.35, 0.10, std::chrono::milliseconds(1300)},
-    Stage{1.0, 0.10, std::chrono::milliseconds(1600)},
+    Stage{0.05, 0.30, std::chrono::milliseconds(3000)},
+    Stage{0.15, 0.08, std::chrono::milliseconds(1000)},
+    Stage{0.35, 0.08, std::chrono::milliseconds(1000)},
+    Stage{1.0, 0.08, std::chrono::milliseconds(1400)},
 };
 /// Answers of the target before its share grows beyond the first stage.
 constexpr std::uint64_t LeastAnswers = 15;
--- /dev/null
+++ b/src/libs/logging/DescriptorAppender.cpp
@@ -0,0 +1,56 @@
+#include "logging/DescriptorAppender.h"
+
+#include <log4cplus/spi/loggingevent.h>
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <climits>
+#include <string>
+
+namespace rr {
+
+namespace {
+
+/// A pipe that is ready for writing takes this much at once.
+constexpr std::size_t LongestLine = PIPE_BUF;
+
+void writeLine(int Descriptor, std::string Line) {
+  if (Line.size() > LongestLine) {
+    Line.resize(LongestLine - 1);
+    Line += '\n';
+  }
+  // A reader that has gone is no reason to stop; there is nobody to tell.
+  [[maybe_unused]] const auto Written =
+      ::write(Descriptor, Line.data(), Line.size());
+}
+
+} // namespace
+
+DescriptorAppender::~DescriptorAppender() { this->destructorImpl(); }
+
+bool DescriptorAppender::hasRoom() const {
+  pollfd Watched{this->Descriptor, POLLOUT, 0};
+  return ::poll(&Watched, 1, 0) == 1 && (Watched.revents & POLLOUT) != 0;
+}
+
+void DescriptorAppender::append(
+    const log4cplus::spi::InternalLoggingEvent &Event) {
+  if (!this->hasRoom()) {
+    ++this->LeftOut;
+    return;
+  }
+  if (this->LeftOut > 0) {
+    writeLine(this->Descriptor,
+              "log lines left out because they were not read: " +
+                  std::to_string(this->LeftOut) + "\n");
+    this->LeftOut = 0;
+    if (!this->hasRoom()) {
+      ++this->LeftOut;
+      return;
+    }
+  }
+  writeLine(this->Descriptor, this->formatEvent(Event));
+}
+
+} // namespace rr
--- /dev/null
+++ b/src/libs/logging/DescriptorAppender.h
@@ -0,0 +1,32 @@
+#ifndef REDWINGRACK_LOGGING_DESCRIPTORAPPENDER_H
+#define REDWINGRACK_LOGGING_DESCRIPTORAPPENDER_H
+
+#include <log4cplus/appender.h>
+
+#include <cstdint>
+
+namespace rr {
+
+/// Writes log lines to a file descriptor without ever waiting for its reader.
+/// Lines that a pipe has no room for are left out; how many is said in a line
+/// as soon as there is room again.
+class DescriptorAppender : public log4cplus::Appender {
+public:
+  explicit DescriptorAppender(int Descriptor) : Descriptor(Descriptor) {}
+  ~DescriptorAppender() override;
+
+  void close() override { this->closed = true; }
+
+protected:
+  void append(const log4cplus::spi::InternalLoggingEvent &Event) override;
+
+private:
+  bool hasRoom() const;
+
+  int Descriptor;
+  std::uint64_t LeftOut = 0;
+};
+
+} // namespace rr
+
+#endif // REDWINGRACK_LOGGING_DESCRIPTORAPPENDER_H
--- a/src/libs/logging/EventLog.cpp
+++ b/src/libs/logging/EventLog.cpp
@@ -1,7 +1,8 @@
 #include "logging/EventLog.h"
 
+#include "logging/DescriptorAppender.h"
+
 #include <log4cplus/configurator.h>
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
@@ -114,7 +115,7 @@
   WriteJson = Settings.Json;
   Started = true;
   log4cplus::SharedAppenderPtr Console(
-      new log4cplus::ConsoleAppender(true, true));
+      new DescriptorAppender(Settings.Descriptor));
   const char *const Pattern =
       Settings.Json ? "%m%n" : "%D{%Y-%m-%dT%H:%M:%S.%qZ} %-5p %m%n";
   Console->setLayout(std::make_unique<log4cplus::PatternLayout>(Pattern));
--- a/src/libs/logging/EventLog.h
+++ b/src/libs/logging/EventLog.h
@@ -9,11 +9,13 @@
 
 namespace rr {
 
-/// How events are written to standard error.
+/// How and where events are written.
 struct EventLogSettings {
   bool Json = false;
   /// debug, info, warning or error.
   std::string Level = "info";
+  /// Standard error, unless set otherwise. Writing never waits for a reader.
+  int Descriptor = 2;
 };
 
 void startEventLog(const EventLogSettings &Settings);
