Send callers to the large instances of a zone; give small workspaces deeper buckets

Cause 2: all instances read the store at the same pace, also those that hardly serve. Change: where a zone has instances of different size, the large ones take the callers; the others stand by, read and write seldom, pass look-ups on and serve when they are needed. What may be used beyond a rate is spread over the instances, and demand is averaged over 4 s and towards the mean. Ruled out: more of the rate evenly (the parts no longer follow demand, tst_FleetSums). Conclusion: readers that tell the others would be the next step for the store.

--- a/src/features/gateway/Gateway.cpp
+++ b/src/features/gateway/Gateway.cpp
@@ -88,6 +88,7 @@
 asio::awaitable<HttpMessage> Gateway::handle(HttpMessage Message,
                                              CancellationPtr Cancel) {
   const double Jitter = std::uniform_real_distribution<>()(this->Random);
+  this->State.LastRequest = Clock::now();
   const std::string *Field =
       findHeader(Message.Headers, this->State.Settings.Headers.RequestId);
   const std::string Id = Field ? *Field : "";
@@ -271,8 +272,7 @@
   if (Found != this->State.Retries.end())
     return Found->second;
   const SteeringBounds &Bounds = this->State.Settings.Bounds;
-  const double Holders = double(std::max<std::size_t>(
-      this->State.Members.records().size(), this->State.Members.holders()));
+  const double Holders = double(this->State.Members.holders());
   const auto Percent =
       static_cast<std::uint32_t>(100 * BudgetPart * Bounds.RetryRatio);
   const auto Reserve = static_cast<std::uint32_t>(
--- a/src/features/gateway/GatewaySettings.h
+++ b/src/features/gateway/GatewaySettings.h
@@ -25,6 +25,8 @@
   std::string MetricsAddress;
   /// Of the platform's store, IP:PORT.
   std::string StoreAddress;
+  /// Processor share that the process may use.
+  double Capacity = 1;
   /// Region by availability zone.
   std::map<std::string, std::string> Zones;
   GatewayHeaders Headers;
--- a/src/features/gateway/GatewaySettingsFile.cpp
+++ b/src/features/gateway/GatewaySettingsFile.cpp
@@ -49,6 +49,7 @@
     this->address(Reader, "callers", Target.CallerAddress, true);
     this->address(Reader, "readiness", Target.ReadinessAddress, false);
     this->address(Reader, "lookups", Target.LookupAddress, false);
+    Reader.number("cpu_share", Target.Capacity, 0);
     this->address(Reader, "metrics", Target.MetricsAddress, false);
     Reader.refuseUnknown();
   }
@@ -81,6 +82,9 @@
     Reader.seconds("lookup_lifetime_s", Target.LookupLifetime);
     Reader.number("retry_ratio", Target.RetryRatio, 0);
     Reader.number("retry_extra", Target.RetryExtra, 0);
+    Reader.seconds("quota_window_s", Target.Quota.Window);
+    Reader.number("quota_overage", Target.Quota.Overage, 0);
+    Reader.number("quota_tolerance", Target.Quota.Tolerance, 0);
     Reader.number("most_shift", Target.MostShift, 0);
     Reader.refuseUnknown();
   }
--- a/src/features/gateway/MemberBook.cpp
+++ b/src/features/gateway/MemberBook.cpp
@@ -114,6 +114,9 @@
   Record.Zone = Settings.Zone;
   Record.Region = Settings.Region;
   Record.WrittenAt = this->State.Members.storeTime();
+  Record.LookupAddress = Settings.LookupAddress;
+  Record.Capacity = Settings.Capacity;
+  Record.Standby = this->State.Standby;
   Record.Leaving = this->State.Leaving;
   Record.Demand = this->State.Quotas.demand(Now);
   for (const auto &[Service, Steering] : this->State.Versions) {
--- a/src/features/gateway/MemberCodec.cpp
+++ b/src/features/gateway/MemberCodec.cpp
@@ -8,10 +8,17 @@
 
 std::string encodeMember(const MemberRecord &Record) {
   const std::chrono::duration<double> WrittenAt = Record.WrittenAt;
-  return json{{"name", Record.Name},        {"incarnation", Record.Incarnation},
-              {"address", Record.Address},  {"zone", Record.Zone},
-              {"region", Record.Region},    {"written_at", WrittenAt.count()},
-              {"leaving", Record.Leaving},  {"demand", Record.Demand},
+  return json{{"name", Record.Name},
+              {"incarnation", Record.Incarnation},
+              {"address", Record.Address},
+              {"zone", Record.Zone},
+              {"region", Record.Region},
+              {"lookups", Record.LookupAddress},
+              {"capacity", Record.Capacity},
+              {"standby", Record.Standby},
+              {"written_at", WrittenAt.count()},
+              {"leaving", Record.Leaving},
+              {"demand", Record.Demand},
               {"rollouts", Record.Rollouts}}
       .dump();
 }
@@ -27,6 +34,9 @@
     Value.at("address").get_to(Record.Address);
     Value.at("zone").get_to(Record.Zone);
     Value.at("region").get_to(Record.Region);
+    Value.at("lookups").get_to(Record.LookupAddress);
+    Value.at("capacity").get_to(Record.Capacity);
+    Value.at("standby").get_to(Record.Standby);
     Record.WrittenAt = std::chrono::duration_cast<Clock::duration>(
         std::chrono::duration<double>(Value.at("written_at").get<double>()));
     Value.at("leaving").get_to(Record.Leaving);
--- a/src/features/gateway/RequestAdmission.cpp
+++ b/src/features/gateway/RequestAdmission.cpp
@@ -93,8 +93,8 @@
     return refusalReply(503, "no region may serve this request",
                         spread(UnreadyRetry, UnreadySpread, Jitter));
   if (Request.Workspace) {
-    const Clock::duration Wait =
-        State.Quotas.take(*Request.Workspace, State.Members, Now);
+    const Clock::duration Wait = State.Quotas.take(
+        *Request.Workspace, State.Members, State.Settings.Bounds.Quota, Now);
     if (Wait > Clock::duration::zero())
       return refusalReply(
           429, "the workspace's rate is used up",
--- a/src/features/gateway/SteeringBounds.h
+++ b/src/features/gateway/SteeringBounds.h
@@ -2,6 +2,7 @@
 #define REDWINGRACK_GATEWAY_STEERINGBOUNDS_H
 
 #include "base/Clock.h"
+#include "steering/QuotaBounds.h"
 
 namespace rr {
 
@@ -17,6 +18,7 @@
   double RetryRatio = 0.2;
   /// Retries on top of that, over the whole fleet.
   double RetryExtra = 64;
+  QuotaBounds Quota;
   /// Share of a region's requests that may change their region at once.
   double MostShift = 0.15;
 };
--- a/src/features/gateway/SteeringInstance.cpp
+++ b/src/features/gateway/SteeringInstance.cpp
@@ -3,6 +3,7 @@
 #include "base/Random.h"
 #include "gateway/BootTime.h"
 #include "gateway/GatewayReplies.h"
+#include "http1/MessageText.h"
 #include "logging/EventLog.h"
 #include "steering/RegionMix.h"
 
@@ -27,6 +28,15 @@
 constexpr Clock::duration AnnouncePeriod = std::chrono::milliseconds(2400);
 /// Both while a version moves.
 constexpr Clock::duration BusyPeriod = std::chrono::milliseconds(500);
+/// Of an instance that callers are not sent to. Its orders are still proven
+/// all the time, so that it can serve at once.
+constexpr Clock::duration StandbyOrderWait = std::chrono::milliseconds(3400);
+constexpr Clock::duration StandbyPeriod = std::chrono::seconds(8);
+/// A standby that gets a request is in service for this long.
+constexpr Clock::duration WakeTime = std::chrono::seconds(30);
+/// Idle connections to another instance's look-up.
+constexpr std::size_t KeptPeerLinks = 2;
+constexpr Clock::duration PeerLookupTime = std::chrono::milliseconds(300);
 constexpr Clock::duration HousePeriod = std::chrono::milliseconds(250);
 constexpr std::size_t MostAddresses = 64;
 /// A stopping instance takes requests until callers have a new list, and then
@@ -45,7 +55,7 @@
                                    const GatewaySettings &Settings,
                                    TableStore Tables, PlatformCodec Names)
     : Context(Io), Store(std::move(Tables)), Codec(std::move(Names)),
-      State(Settings), Requests(Io, this->State),
+      State(Settings), Requests(Io, this->State), Peers(Io, KeptPeerLinks, {}),
       Callers(Io,
               [this](HttpMessage Request, CancellationPtr Cancel) {
                 return this->Requests.handle(std::move(Request),
@@ -63,23 +73,24 @@
       Members(this->State, randomToken().substr(0, 8)),
       Moves(this->State, this->Members, this->Store, this->Codec),
       OrderTable(
-          this->Store, {this->Codec.OrderTable, OrderWait, Clock::duration{0}},
+          Io, this->Store,
+          {this->Codec.OrderTable, OrderWait, Clock::duration{0}},
           {[this](const TableRows &Rows) { this->Orders.applySnapshot(Rows); },
            [this](const TableRows &Rows) { this->Orders.applyChanges(Rows); },
            [this](Clock::time_point AsOf) { this->Orders.confirm(AsOf); }}),
-      BackendTable(
-          this->Store, {this->Codec.BackendTable, BackendPeriod, BackendPeriod},
-          {[this](const TableRows &Rows) {
-             this->Backends.applySnapshot(Rows, this->BackendTable.isSettling(),
-                                          Clock::now());
-           },
-           [this](const TableRows &Rows) {
-             this->Backends.applyChanges(Rows, this->BackendTable.isSettling(),
-                                         Clock::now());
-           },
-           nullptr}),
+      BackendTable(Io, this->Store,
+                   {this->Codec.BackendTable, BackendPeriod, BackendPeriod},
+                   {[this](const TableRows &Rows) {
+                      this->Backends.applySnapshot(
+                          Rows, this->BackendTable.isSettling(), Clock::now());
+                    },
+                    [this](const TableRows &Rows) {
+                      this->Backends.applyChanges(
+                          Rows, this->BackendTable.isSettling(), Clock::now());
+                    },
+                    nullptr}),
       MemberTable(
-          this->Store, {MemberBook::Table, MemberPeriod, MemberPeriod},
+          Io, this->Store, {MemberBook::Table, MemberPeriod, MemberPeriod},
           {[this](const TableRows &Rows) { this->Members.applySnapshot(Rows); },
            [this](const TableRows &Rows) { this->Members.applyChanges(Rows); },
            nullptr}),
@@ -125,7 +136,7 @@
 bool SteeringInstance::isReady() const {
   return this->State.Config && this->State.BackendsKnown &&
          this->State.MembersKnown && !this->State.Leaving &&
-         bootTime() < this->State.KeysValidUntil;
+         !this->State.Standby && bootTime() < this->State.KeysValidUntil;
 }
 
 void SteeringInstance::setBounds(const SteeringBounds &Bounds) {
@@ -158,6 +169,12 @@
   if (!this->State.Config || !this->State.MembersKnown)
     co_return refusalReply(503, "the instances are not known here yet",
                            std::chrono::milliseconds(300));
+  if (this->State.Standby) {
+    // What a standby knows of the others is old.
+    auto Answer = co_await this->askActive(Request);
+    if (Answer)
+      co_return std::move(*Answer);
+  }
   std::set<std::string> Homes;
   const auto Routes = this->State.Config->RoutesByHost.find(Query->Host);
   if (Routes != this->State.Config->RoutesByHost.end())
@@ -175,6 +192,25 @@
       Addresses, this->State.Settings.Bounds.LookupLifetime);
 }
 
+asio::awaitable<Outcome<HttpMessage>>
+SteeringInstance::askActive(HttpMessage Request) {
+  removeHopByHopHeaders(Request.Headers);
+  const GatewaySettings &Settings = this->State.Settings;
+  for (const std::string &Address :
+       this->State.Members.activeLookups(Settings.Zone, Settings.Region)) {
+    LinkPool::Call Call;
+    Call.Address = Address;
+    Call.Request = Request;
+    Call.ConnectDeadline = Call.Deadline = Clock::now() + PeerLookupTime;
+    auto Result = co_await this->Peers.call(std::move(Call));
+    if (!Result.Error && Result.Answer.Status == 200) {
+      removeHopByHopHeaders(Result.Answer.Headers);
+      co_return std::move(Result.Answer);
+    }
+  }
+  co_return failure(Errc::Unavailable);
+}
+
 asio::awaitable<void> SteeringInstance::announce() {
   while (!this->Stopped) {
     if (this->State.MembersKnown) {
@@ -186,18 +222,51 @@
     }
     const bool Busy = this->Moves.isBusy() || !this->State.MembersKnown;
     asio::error_code Ignored;
-    this->MemberTable.setPeriod(Busy ? BusyPeriod : MemberPeriod);
-    this->AnnounceTimer.expires_after(Busy ? BusyPeriod : AnnouncePeriod);
+    this->applyPace(Busy);
+    const Clock::duration Usual =
+        this->State.Standby ? StandbyPeriod : AnnouncePeriod;
+    this->AnnounceTimer.expires_after(Busy && !this->State.Standby ? BusyPeriod
+                                                                   : Usual);
     co_await this->AnnounceTimer.async_wait(
         asio::redirect_error(asio::use_awaitable, Ignored));
   }
 }
 
+void SteeringInstance::applyPace(bool Busy) {
+  if (this->State.Standby) {
+    this->OrderTable.setPace(StandbyOrderWait, Clock::duration{0});
+    this->BackendTable.setPace(BackendPeriod, StandbyPeriod);
+    this->MemberTable.setPace(MemberPeriod, StandbyPeriod);
+    return;
+  }
+  const Clock::duration Period = Busy ? BusyPeriod : MemberPeriod;
+  this->OrderTable.setPace(OrderWait, Clock::duration{0});
+  this->BackendTable.setPace(BackendPeriod, BackendPeriod);
+  this->MemberTable.setPace(Period, Period);
+}
+
+void SteeringInstance::reviewStandby(Clock::time_point Now) {
+  const bool Used = this->State.LastRequest != Clock::time_point{} &&
+                    Now - this->State.LastRequest < WakeTime;
+  const bool Standby = this->State.MembersKnown && !Used &&
+                       !this->State.Members.isActive(this->State.Settings.Name);
+  if (Standby == this->State.Standby)
+    return;
+  this->State.Standby = Standby;
+  logEvent(Standby ? Event::StandbyBegun : Event::StandbyEnded);
+  this->applyPace(this->Moves.isBusy());
+  // The others learn of it at once.
+  this->AnnounceTimer.cancel();
+}
+
 asio::awaitable<void> SteeringInstance::keepHouse() {
   while (!this->Stopped) {
     const Clock::time_point Now = Clock::now();
     this->Requests.links().dropExpired();
-    this->Members.advanceStoreTime(Now);
+    // A standby judges the others as of its last read.
+    if (!this->State.Standby)
+      this->Members.advanceStoreTime(Now);
+    this->reviewStandby(Now);
     this->State.ColdServers.expire(Now);
     this->Backends.settle(this->BackendTable.isSettling());
     if (this->State.Config)
--- a/src/features/gateway/SteeringInstance.h
+++ b/src/features/gateway/SteeringInstance.h
@@ -48,6 +48,10 @@
   asio::awaitable<void> announce();
   asio::awaitable<void> keepHouse();
   asio::awaitable<void> finish(std::function<void()> Done);
+  /// Asks the active instances in the caller's place.
+  asio::awaitable<Outcome<HttpMessage>> askActive(HttpMessage Request);
+  void applyPace(bool Busy);
+  void reviewStandby(Clock::time_point Now);
   void applyLimits(const ClientLimits &Limits);
 
   asio::io_context &Context;
@@ -55,6 +59,8 @@
   PlatformCodec Codec;
   SteeringState State;
   Gateway Requests;
+  /// To the look-ups of other instances.
+  LinkPool Peers;
   HttpServer Callers;
   HttpServer Readiness;
   HttpServer Lookups;
--- a/src/features/gateway/SteeringState.h
+++ b/src/features/gateway/SteeringState.h
@@ -54,6 +54,10 @@
   /// The tables of backends and members were read at least once.
   bool BackendsKnown = false;
   bool MembersKnown = false;
+  /// Callers are not sent here for now.
+  bool Standby = false;
+  /// Last request of a caller.
+  Clock::time_point LastRequest{};
   /// A stop was asked for.
   bool Leaving = false;
 };
--- a/src/features/gateway/TableWatch.cpp
+++ b/src/features/gateway/TableWatch.cpp
@@ -4,13 +4,25 @@
 #include "gateway/BootTime.h"
 #include "logging/EventLog.h"
 
+#include <asio/redirect_error.hpp>
+#include <asio/use_awaitable.hpp>
+
 #include <algorithm>
 
 namespace rr {
 
-TableWatch::TableWatch(const TableStore &Tables, Options What, Handlers Calls)
+TableWatch::TableWatch(asio::io_context &Context, const TableStore &Tables,
+                       Options What, Handlers Calls)
     : Store(Tables), Chosen(std::move(What)), Functions(std::move(Calls)),
-      Contact(this->Chosen.Table), Random(randomSeed()) {}
+      Contact(this->Chosen.Table), Random(randomSeed()), Pause(Context) {}
+
+void TableWatch::setPace(Clock::duration Wait, Clock::duration Period) {
+  const bool Shorter = Period < this->Chosen.Period;
+  this->Chosen.Wait = Wait;
+  this->Chosen.Period = Period;
+  if (Shorter)
+    this->Pause.cancel();
+}
 
 asio::awaitable<bool> TableWatch::step() {
   const Clock::time_point Start = bootTime();
@@ -46,6 +58,13 @@
   co_return true;
 }
 
+asio::awaitable<void> TableWatch::pauseFor(Clock::duration Time) {
+  asio::error_code Ignored;
+  this->Pause.expires_after(Time);
+  co_await this->Pause.async_wait(
+      asio::redirect_error(asio::use_awaitable, Ignored));
+}
+
 asio::awaitable<void> TableWatch::run() {
   while (!this->Stopped) {
     const Clock::time_point Start = Clock::now();
@@ -57,7 +76,7 @@
     }
     const Clock::duration Passed = Clock::now() - Start;
     if (WasLoaded && this->Loaded && Passed < this->Chosen.Period)
-      co_await sleepFor(this->Chosen.Period - Passed);
+      co_await this->pauseFor(this->Chosen.Period - Passed);
   }
 }
 
--- a/src/features/gateway/TableWatch.h
+++ b/src/features/gateway/TableWatch.h
@@ -3,10 +3,12 @@
 
 #include "base/Clock.h"
 #include "base/Random.h"
+#include "base/Timer.h"
 #include "gateway/StoreContact.h"
 #include "gateway/TableStore.h"
 
 #include <asio/awaitable.hpp>
+#include <asio/io_context.hpp>
 
 #include <functional>
 #include <string>
@@ -32,22 +34,27 @@
     std::function<void(Clock::time_point AsOf)> Confirmed;
   };
 
-  TableWatch(const TableStore &Store, Options Chosen, Handlers Functions);
+  TableWatch(asio::io_context &Context, const TableStore &Store, Options Chosen,
+             Handlers Functions);
 
   /// Runs until stop().
   asio::awaitable<void> run();
   void stop() { this->Stopped = true; }
-  void setPeriod(Clock::duration Period) { this->Chosen.Period = Period; }
+  /// Changes the pace; a shorter one takes effect at once.
+  void setPace(Clock::duration Wait, Clock::duration Period);
   bool isSettling() const { return this->Contact.isSettling(Clock::now()); }
 
 private:
   asio::awaitable<bool> step();
+  asio::awaitable<void> pauseFor(Clock::duration Time);
 
   const TableStore &Store;
   Options Chosen;
   Handlers Functions;
   StoreContact Contact;
   RandomEngine Random;
+  /// Ends the pause between two calls.
+  Timer Pause;
   std::uint64_t Version = 0;
   bool Loaded = false;
   bool Stopped = false;
--- a/src/features/gateway/tst_TableWatch.cpp
+++ b/src/features/gateway/tst_TableWatch.cpp
@@ -17,15 +17,17 @@
   std::map<std::string, std::string> Seen;
   int Snapshots = 0;
   Clock::time_point Confirmed{};
-  TableWatch Watch{this->Store,
-                   {"t", 2s, 500ms},
-                   {[this](const TableRows &Rows) {
-                      ++this->Snapshots;
-                      this->Seen.clear();
-                      this->apply(Rows);
-                    },
-                    [this](const TableRows &Rows) { this->apply(Rows); },
-                    [this](Clock::time_point AsOf) { this->Confirmed = AsOf; }}};
+  TableWatch Watch{
+      this->Loop.context(),
+      this->Store,
+      {"t", 2s, 500ms},
+      {[this](const TableRows &Rows) {
+         ++this->Snapshots;
+         this->Seen.clear();
+         this->apply(Rows);
+       },
+       [this](const TableRows &Rows) { this->apply(Rows); },
+       [this](Clock::time_point AsOf) { this->Confirmed = AsOf; }}};
 
   void apply(const TableRows &Rows) {
     for (const TableRow &Row : Rows.Rows)
@@ -46,9 +48,7 @@
 TEST_CASE("A table is read in full and then followed", "[watch]") {
   WatchBed Bed;
   Bed.Tables.put("t", "a", "1");
-  Bed.Loop.spawn([&]() -> asio::awaitable<void> {
-    co_await Bed.Watch.run();
-  });
+  Bed.Loop.spawn([&]() -> asio::awaitable<void> { co_await Bed.Watch.run(); });
   CHECK(Bed.Seen.at("a") == "1");
   Bed.Tables.put("t", "b", "2");
   Bed.Tables.erase("t", "a");
@@ -61,9 +61,7 @@
 TEST_CASE("Changes that come all the time are read together, at a pace",
           "[watch]") {
   WatchBed Bed;
-  Bed.Loop.spawn([&]() -> asio::awaitable<void> {
-    co_await Bed.Watch.run();
-  });
+  Bed.Loop.spawn([&]() -> asio::awaitable<void> { co_await Bed.Watch.run(); });
   const int Before = Bed.Tables.Calls;
   for (int Step = 0; Step < 100; ++Step) {
     Bed.Tables.put("t", "a", std::to_string(Step));
@@ -77,9 +75,7 @@
           "is noticed within a second",
           "[watch]") {
   WatchBed Bed;
-  Bed.Loop.spawn([&]() -> asio::awaitable<void> {
-    co_await Bed.Watch.run();
-  });
+  Bed.Loop.spawn([&]() -> asio::awaitable<void> { co_await Bed.Watch.run(); });
   CHECK(Bed.Tables.LastWait == 2s);
   Bed.Tables.Down = true;
   Bed.Loop.advance(4s);
@@ -97,9 +93,7 @@
           "[watch]") {
   WatchBed Bed;
   Bed.Tables.put("t", "a", "1");
-  Bed.Loop.spawn([&]() -> asio::awaitable<void> {
-    co_await Bed.Watch.run();
-  });
+  Bed.Loop.spawn([&]() -> asio::awaitable<void> { co_await Bed.Watch.run(); });
   Bed.Tables.erase("t", "a");
   Bed.Tables.dropHistory();
   Bed.Loop.advance(3s);
--- a/src/features/steering/MemberRecord.h
+++ b/src/features/steering/MemberRecord.h
@@ -17,6 +17,12 @@
   std::string Address;
   std::string Zone;
   std::string Region;
+  /// Where callers ask for instances, IP:PORT; may be empty.
+  std::string LookupAddress;
+  /// Processor share that the instance may use; tells large ones from small.
+  double Capacity = 1;
+  /// Is not named to callers for now, and writes and reads seldom.
+  bool Standby = false;
   /// Time of the store's clock when this was written.
   Clock::duration WrittenAt{0};
   /// Takes no new callers.
--- a/src/features/steering/MemberView.cpp
+++ b/src/features/steering/MemberView.cpp
@@ -10,13 +10,21 @@
 
 /// The period of the records, the time until they are read, and a margin.
 constexpr Clock::duration LiveTime = std::chrono::milliseconds(5200);
+/// The same for instances that are not named to callers.
+constexpr Clock::duration StandbyLiveTime = std::chrono::seconds(18);
+/// An instance is large from this part of the largest one of its zone.
+constexpr double LargePart = 0.5;
+/// With fewer large ones, all instances of a zone are active.
+constexpr int FewLarge = 2;
 /// A caller gets at least this many addresses if there are as many.
 constexpr std::size_t FewAddresses = 2;
 /// Part of a workspace's rate that is divided evenly, so that demand that
 /// moves to another instance finds some at once.
-constexpr double EvenPart = 0.25;
-/// Added to every instance's demand, in requests a second.
-constexpr double DemandFloor = 0.2;
+constexpr double EvenPart = 0.2;
+/// Added to every instance's demand: a part of the average, since the demand
+/// of a few requests a second says little, and a floor in requests a second.
+constexpr double AveragePart = 0.6;
+constexpr double DemandFloor = 0.05;
 
 } // namespace
 
@@ -26,14 +34,54 @@
 
 void MemberView::remove(const std::string &Name) { this->Records.erase(Name); }
 
+bool MemberView::isRecent(const MemberRecord &Record) const {
+  const Clock::duration Time = Record.Standby ? StandbyLiveTime : LiveTime;
+  return Record.Name == this->Self || Record.WrittenAt + Time > this->StoreTime;
+}
+
 bool MemberView::isLive(const MemberRecord &Record) const {
-  return !Record.Leaving && (Record.Name == this->Self ||
-                             Record.WrittenAt + LiveTime > this->StoreTime);
+  return !Record.Leaving && this->isRecent(Record);
+}
+
+bool MemberView::isActive(const MemberRecord &Record) const {
+  double Largest = 0;
+  for (const auto &Item : this->Records)
+    if (Item.second.Zone == Record.Zone && this->isLive(Item.second))
+      Largest = std::max(Largest, Item.second.Capacity);
+  if (Record.Capacity >= LargePart * Largest)
+    return true;
+  int Large = 0;
+  for (const auto &Item : this->Records)
+    if (Item.second.Zone == Record.Zone && this->isLive(Item.second) &&
+        Item.second.Capacity >= LargePart * Largest)
+      ++Large;
+  return Large < FewLarge;
+}
+
+bool MemberView::isActive(const std::string &Name) const {
+  const auto Found = this->Records.find(Name);
+  return Found == this->Records.end() || this->isActive(Found->second);
 }
 
 bool MemberView::holdsShares(const MemberRecord &Record) const {
-  return Record.Name == this->Self ||
-         Record.WrittenAt + LiveTime > this->StoreTime;
+  return this->isRecent(Record) &&
+         (Record.Name == this->Self || !Record.Standby);
+}
+
+std::vector<std::string>
+MemberView::activeLookups(const std::string &Zone,
+                          const std::string &Region) const {
+  std::vector<std::string> Result;
+  for (const int Nearness : {0, 1})
+    for (const auto &Item : this->Records) {
+      const MemberRecord &Record = Item.second;
+      const bool Near = Record.Zone == Zone;
+      if (Record.Name != this->Self && !Record.Standby &&
+          this->isLive(Record) && !Record.LookupAddress.empty() &&
+          (Nearness == 0 ? Near : !Near && Record.Region == Region))
+        Result.push_back(Record.LookupAddress);
+    }
+  return Result;
 }
 
 std::vector<std::string> MemberView::live() const {
@@ -59,7 +107,7 @@
     std::vector<std::string> Result;
     for (const auto &Item : this->Records)
       if (this->isLive(Item.second) && Matches(Item.second) &&
-          Result.size() < Most)
+          Result.size() < Most && this->isActive(Item.second))
         Result.push_back(Item.second.Address);
     return Result;
   };
@@ -88,7 +136,9 @@
   for (const auto &Item : this->Records)
     if (this->holdsShares(Item.second))
       Total += DemandOf(Item.second);
-  return EvenPart * Even + (1 - EvenPart) * DemandOf(Own->second) / Total;
+  const double ByDemand = (DemandOf(Own->second) + AveragePart * Total * Even) /
+                          (Total * (1 + AveragePart));
+  return EvenPart * Even + (1 - EvenPart) * ByDemand;
 }
 
 bool MemberView::isChosen(std::uint64_t Item, std::size_t Count) const {
--- a/src/features/steering/MemberView.h
+++ b/src/features/steering/MemberView.h
@@ -30,6 +30,10 @@
   }
   /// Names of the instances that wrote lately and do not leave, in order.
   std::vector<std::string> live() const;
+  /// Whether callers are sent to the instance: it is one of the large ones of
+  /// its zone, or there are too few of those.
+  bool isActive(const MemberRecord &Record) const;
+  bool isActive(const std::string &Name) const;
   /// Instances whose share of a sum may still be in use.
   std::size_t holders() const;
 
@@ -40,6 +44,11 @@
                                         const std::set<std::string> &Homes,
                                         std::size_t Most) const;
 
+  /// Where the active instances answer look-ups, those of the zone and then of
+  /// the region first.
+  std::vector<std::string> activeLookups(const std::string &Zone,
+                                         const std::string &Region) const;
+
   /// This instance's part of a workspace's rate, 0 to 1. Follows the demand
   /// that the instances have published, this one included, so that the parts
   /// of all add up to one even while demand changes.
@@ -49,6 +58,7 @@
   bool isChosen(std::uint64_t Item, std::size_t Count) const;
 
 private:
+  bool isRecent(const MemberRecord &Record) const;
   bool isLive(const MemberRecord &Record) const;
   bool holdsShares(const MemberRecord &Record) const;
 
--- a/src/features/steering/QuotaGate.cpp
+++ b/src/features/steering/QuotaGate.cpp
@@ -8,12 +8,12 @@
 namespace {
 
 /// Demand is averaged over this time.
-constexpr Clock::duration DemandTime = std::chrono::seconds(2);
+constexpr Clock::duration DemandTime = std::chrono::seconds(4);
 /// The part of the rate follows demand this often.
 constexpr Clock::duration AdjustPeriod = std::chrono::milliseconds(200);
-/// Requests that may come at once, as time at the rate. The rest of a
-/// workspace's burst is left for parts that change at different times.
-constexpr double BucketSeconds = 1.0;
+/// Part of the requests beyond the rate that may come at once over all
+/// instances. The rest is for shares that change at different times.
+constexpr double UsedPart = 0.7;
 
 double seconds(Clock::duration Time) {
   return std::chrono::duration<double>(Time).count();
@@ -28,6 +28,7 @@
 
 Clock::duration QuotaGate::take(const SteeringWorkspace &Workspace,
                                 const MemberView &Members,
+                                const QuotaBounds &Bounds,
                                 Clock::time_point Now) {
   auto [Found, New] = this->Accounts.try_emplace(Workspace.Name, Now);
   Account &Item = Found->second;
@@ -37,8 +38,11 @@
     return Clock::duration::zero();
   if (New || Now - Item.AdjustedAt >= AdjustPeriod) {
     const double Share = Members.rateShare(Workspace.Name);
-    const double Depth =
-        std::min(Workspace.Burst, Workspace.Rate * BucketSeconds) * Share;
+    const double InWindow =
+        Workspace.Rate * seconds(Bounds.Window) + Workspace.Burst;
+    const double Beyond =
+        Workspace.Burst + Bounds.Overage * InWindow + Bounds.Tolerance;
+    const double Depth = UsedPart * Beyond * Share;
     Item.Bucket.setRate(toMicroRequests(Workspace.Rate * Share), Now);
     Item.Bucket.setCapacity(toMicroRequests(std::max(1.0, Depth)), Now);
     Item.AdjustedAt = Now;
--- a/src/features/steering/QuotaGate.h
+++ b/src/features/steering/QuotaGate.h
@@ -4,6 +4,7 @@
 #include "base/Clock.h"
 #include "limits/TokenBucket.h"
 #include "steering/MemberView.h"
+#include "steering/QuotaBounds.h"
 #include "steering/SteeringWorkspace.h"
 
 #include <map>
@@ -17,7 +18,8 @@
   /// Takes one request of the workspace. Returns how long until there is room
   /// when it is beyond the rate, and zero when it may run.
   Clock::duration take(const SteeringWorkspace &Workspace,
-                       const MemberView &Members, Clock::time_point Now);
+                       const MemberView &Members, const QuotaBounds &Bounds,
+                       Clock::time_point Now);
 
   /// Gives back what take() took for a request that was not run.
   void giveBack(const SteeringWorkspace &Workspace);
