Count the log lines that are left out by what became of their requests

Cause: under heavy refusal a line said only how many lines were left out. Change: the line has a count for each outcome. The setting for a metrics address, which nothing served, is gone.

--- a/src/features/gateway/BoundedLog.cpp
+++ b/src/features/gateway/BoundedLog.cpp
@@ -2,18 +2,24 @@
 
 namespace rr {
 
-void BoundedLog::write(Event Number, const std::vector<EventField> &Fields) {
+void BoundedLog::beginSecond(Clock::time_point Now) {
+  std::vector<EventField> Counts;
+  for (const auto &[Outcome, Count] : this->LeftOut)
+    Counts.push_back({Outcome, std::to_string(Count)});
+  if (!Counts.empty())
+    logEvent(Event::RequestLinesLeftOut, Counts);
+  this->SecondBegan = Now;
+  this->Lines = 0;
+  this->LeftOut.clear();
+}
+
+void BoundedLog::write(Event Number, const std::string &Outcome,
+                       const std::vector<EventField> &Fields) {
   const Clock::time_point Now = Clock::now();
-  if (Now - this->SecondBegan >= std::chrono::seconds(1)) {
-    if (this->LeftOut > 0)
-      logEvent(Event::RequestLinesLeftOut,
-               {{"count", std::to_string(this->LeftOut)}});
-    this->SecondBegan = Now;
-    this->Lines = 0;
-    this->LeftOut = 0;
-  }
+  if (Now - this->SecondBegan >= std::chrono::seconds(1))
+    this->beginSecond(Now);
   if (++this->Lines > LinesPerSecond)
-    ++this->LeftOut;
+    ++this->LeftOut[Outcome];
   else
     logEvent(Number, Fields);
 }
--- a/src/features/gateway/BoundedLog.h
+++ b/src/features/gateway/BoundedLog.h
@@ -5,22 +5,29 @@
 #include "logging/EventLog.h"
 
 #include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
 
 namespace rr {
 
-/// Writes events of single requests up to a rate, and then how many were left
-/// out.
+/// Writes events of single requests up to a rate. Once a second it says how
+/// many were left out, by what became of them.
 class BoundedLog {
 public:
-  void write(Event Number, const std::vector<EventField> &Fields);
-
-private:
   /// Lines a second; beyond it a line costs more than it tells.
   static constexpr int LinesPerSecond = 30;
 
+  /// \p Outcome is what lines that are left out are counted by.
+  void write(Event Number, const std::string &Outcome,
+             const std::vector<EventField> &Fields);
+
+private:
+  void beginSecond(Clock::time_point Now);
+
   Clock::time_point SecondBegan{};
   int Lines = 0;
-  std::uint64_t LeftOut = 0;
+  std::map<std::string, std::uint64_t> LeftOut;
 };
 
 } // namespace rr
--- a/src/features/gateway/Gateway.cpp
+++ b/src/features/gateway/Gateway.cpp
@@ -106,6 +106,7 @@
   const auto &Config = this->State.Config;
   this->Log.write(
       Event::RequestNotAdmitted,
+      "not_admitted_" + std::to_string(Refusal.Status),
       {{"request", Id},
        {"status", std::to_string(Refusal.Status)},
        {"reason", Refusal.Body.substr(0, Refusal.Body.size() - 1)},
@@ -193,7 +194,7 @@
     noteUnreachable(Server, Now);
     this->Links.drop(Record.Address);
     this->Log.write(
-        Event::ServerEjected,
+        Event::ServerEjected, "server_ejected",
         {{"server", Record.Id}, {"reason", attemptResultName(Done.Result)}});
     return;
   }
@@ -335,6 +336,7 @@
       Sofar.ServerFailure = std::move(Done.Exchange.Answer);
     }
     this->Log.write(Event::AttemptFailed,
+                    std::string("attempt_") + attemptResultName(Done.Result),
                     {{"request", Request.Id},
                      {"route", Request.Route->Name},
                      {"server", Done.Where.Server->Record.Id},
@@ -371,6 +373,7 @@
                          this->comeBackTime());
   }
   this->Log.write(Event::RequestConcluded,
+                  "concluded_" + std::to_string(Reply.Status),
                   {{"request", Request.Id},
                    {"route", Request.Route->Name},
                    {"service", Sofar.Service},
--- a/src/features/gateway/GatewaySettings.h
+++ b/src/features/gateway/GatewaySettings.h
@@ -21,8 +21,6 @@
   std::string ReadinessAddress;
   /// Where callers ask for instances; may be empty.
   std::string LookupAddress;
-  /// Where metrics are read; may be empty.
-  std::string MetricsAddress;
   /// Of the platform's store, IP:PORT.
   std::string StoreAddress;
   /// Processor share that the process may use.
--- a/src/features/gateway/GatewaySettingsFile.cpp
+++ b/src/features/gateway/GatewaySettingsFile.cpp
@@ -50,7 +50,6 @@
     this->address(Reader, "readiness", Target.ReadinessAddress, false);
     this->address(Reader, "lookups", Target.LookupAddress, false);
     Reader.number("cpu_share", Target.Capacity, 0);
-    this->address(Reader, "metrics", Target.MetricsAddress, false);
     Reader.refuseUnknown();
   }
 
