--- a/src/app/OtherCommands.cpp
+++ b/src/app/OtherCommands.cpp
@@ -4,6 +4,7 @@
 #include "app/ExitCode.h"
 #include "app/HttpCall.h"
 #include "base/Digest.h"
+#include "gateway/GatewaySettingsFile.h"
 #include "model/FleetConfigJson.h"
 #include "model/FleetConfigToml.h"
 #include "settings/SettingsFile.h"
@@ -25,6 +26,12 @@
 }
 
 std::vector<std::string> problemsOf(const std::string &File) {
+  if (endsWith(File, ".steer.toml")) {
+    Diagnostics Found;
+    if (loadGatewaySettings(File, Found))
+      Found.Lines.clear();
+    return Found.Lines;
+  }
   const bool IsToml = endsWith(File, ".fleet.toml");
   if (!IsToml && !endsWith(File, ".json")) {
     Diagnostics Found;
