Plain names for the parts that apply rows, for caches and for upkeep

Cause: a newcomer had to guess what a book and a stranger are. Change: OrderRegistry, BackendRegistry, MemberRegistry, CacheStanding::Other, maintain(), retryDelay(). No behaviour changed.

--- a/src/features/gateway/BackendBook.cpp
+++ b/src/features/gateway/BackendRegistry.cpp
@@ -1,14 +1,15 @@
-#include "gateway/BackendBook.h"
+#include "gateway/BackendRegistry.h"
 
 #include "logging/EventLog.h"
 
 namespace rr {
 
-BackendBook::BackendBook(SteeringState &Known, const PlatformCodec &Names)
+BackendRegistry::BackendRegistry(SteeringState &Known,
+                                 const PlatformCodec &Names)
     : State(Known), Codec(Names) {}
 
-void BackendBook::applySnapshot(const TableRows &Rows, bool Settling,
-                                Clock::time_point Now) {
+void BackendRegistry::applySnapshot(const TableRows &Rows, bool Settling,
+                                    Clock::time_point Now) {
   std::set<std::string> Present;
   for (const TableRow &Row : Rows.Rows)
     Present.insert(Row.Key);
@@ -19,14 +20,14 @@
   this->State.BackendsKnown = true;
 }
 
-void BackendBook::applyChanges(const TableRows &Rows, bool Settling,
-                               Clock::time_point Now) {
+void BackendRegistry::applyChanges(const TableRows &Rows, bool Settling,
+                                   Clock::time_point Now) {
   for (const TableRow &Row : Rows.Rows)
     this->apply(Row, Settling, Now);
 }
 
-void BackendBook::apply(const TableRow &Row, bool Settling,
-                        Clock::time_point Now) {
+void BackendRegistry::apply(const TableRow &Row, bool Settling,
+                            Clock::time_point Now) {
   if (Row.Deleted) {
     this->Ignored.erase(Row.Key);
     this->remove(Row.Key, Settling);
@@ -57,7 +58,7 @@
     logEvent(Event::BackendDraining, {{"server", Record->Id}});
 }
 
-void BackendBook::remove(const std::string &Id, bool Settling) {
+void BackendRegistry::remove(const std::string &Id, bool Settling) {
   if (!this->State.Backends.find(Id))
     return;
   if (Settling) {
@@ -72,7 +73,7 @@
     this->Left(Removed->Record.Address);
 }
 
-void BackendBook::settle(bool Settling) {
+void BackendRegistry::settle(bool Settling) {
   if (Settling)
     return;
   const std::set<std::string> Gone = std::exchange(this->Missing, {});
--- a/src/features/gateway/BackendBook.h
+++ b/src/features/gateway/BackendRegistry.h
@@ -1,5 +1,5 @@
-#ifndef REDWINGRACK_GATEWAY_BACKENDBOOK_H
-#define REDWINGRACK_GATEWAY_BACKENDBOOK_H
+#ifndef REDWINGRACK_GATEWAY_BACKENDREGISTRY_H
+#define REDWINGRACK_GATEWAY_BACKENDREGISTRY_H
 
 #include "gateway/PlatformCodec.h"
 #include "gateway/SteeringState.h"
@@ -13,9 +13,9 @@
 namespace rr {
 
 /// Applies the entries that backend servers write about themselves.
-class BackendBook {
+class BackendRegistry {
 public:
-  BackendBook(SteeringState &State, const PlatformCodec &Codec);
+  BackendRegistry(SteeringState &State, const PlatformCodec &Codec);
 
   /// \p Settling: the store was away, and entries that lapsed meanwhile may
   /// come back.
@@ -44,4 +44,4 @@
 
 } // namespace rr
 
-#endif // REDWINGRACK_GATEWAY_BACKENDBOOK_H
+#endif // REDWINGRACK_GATEWAY_BACKENDREGISTRY_H
--- a/src/features/gateway/Gateway.cpp
+++ b/src/features/gateway/Gateway.cpp
@@ -33,8 +33,8 @@
 constexpr Clock::duration LossTime = std::chrono::seconds(8);
 /// When a refused caller comes back: about one request's work later, spread
 /// so that those refused together do not return together.
-constexpr Clock::duration LeastComeBack = std::chrono::milliseconds(150);
-constexpr Clock::duration ComeBackSpread = std::chrono::milliseconds(500);
+constexpr Clock::duration LeastRetryDelay = std::chrono::milliseconds(150);
+constexpr Clock::duration RetryDelaySpread = std::chrono::milliseconds(500);
 
 /// Counts a request at a server for as long as it lasts.
 class InFlightScope {
@@ -348,10 +348,10 @@
   }
 }
 
-Clock::duration Gateway::comeBackTime() {
+Clock::duration Gateway::retryDelay() {
   const double Jitter = std::uniform_real_distribution<>()(this->Random);
-  return LeastComeBack +
-         Clock::duration(Clock::rep(double(ComeBackSpread.count()) * Jitter));
+  return LeastRetryDelay +
+         Clock::duration(Clock::rep(double(RetryDelaySpread.count()) * Jitter));
 }
 
 HttpMessage Gateway::conclude(const GatewayRequest &Request,
@@ -370,7 +370,7 @@
                          Why == Placement::Result::NoServer
                              ? "no backend server may run this request"
                              : "the backend servers are busy",
-                         this->comeBackTime());
+                         this->retryDelay());
   }
   this->Log.write(Event::RequestConcluded,
                   "concluded_" + std::to_string(Reply.Status),
--- a/src/features/gateway/Gateway.h
+++ b/src/features/gateway/Gateway.h
@@ -51,7 +51,7 @@
   HttpMessage conclude(const GatewayRequest &Request, const Progress &Sofar,
                        Placement::Result Why);
   RetryBudget &budgetOf(const std::string &Service);
-  Clock::duration comeBackTime();
+  Clock::duration retryDelay();
 
   SteeringState &State;
   LinkPool Links;
--- a/src/features/gateway/MemberBook.cpp
+++ b/src/features/gateway/MemberRegistry.cpp
@@ -1,4 +1,4 @@
-#include "gateway/MemberBook.h"
+#include "gateway/MemberRegistry.h"
 
 #include "gateway/MemberCodec.h"
 #include "logging/EventLog.h"
@@ -30,16 +30,16 @@
 
 } // namespace
 
-MemberBook::MemberBook(SteeringState &Known, std::string Run)
+MemberRegistry::MemberRegistry(SteeringState &Known, std::string Run)
     : State(Known), Incarnation(std::move(Run)) {}
 
-void MemberBook::applySnapshot(const TableRows &Rows) {
+void MemberRegistry::applySnapshot(const TableRows &Rows) {
   this->State.Members.clear();
   this->applyChanges(Rows);
   this->State.MembersKnown = true;
 }
 
-void MemberBook::applyChanges(const TableRows &Rows) {
+void MemberRegistry::applyChanges(const TableRows &Rows) {
   this->ReadStoreTime = Rows.StoreTime;
   this->ReadAt = Clock::now();
   this->State.Members.setStoreTime(Rows.StoreTime);
@@ -47,20 +47,20 @@
     this->apply(Row);
 }
 
-void MemberBook::advanceStoreTime(Clock::time_point Now) {
+void MemberRegistry::advanceStoreTime(Clock::time_point Now) {
   const Clock::duration Passed = Now - this->ReadAt;
   if (this->State.MembersKnown && Passed < LongestReadGap)
     this->State.Members.setStoreTime(this->ReadStoreTime + Passed);
 }
 
-void MemberBook::apply(const TableRow &Row) {
+void MemberRegistry::apply(const TableRow &Row) {
   if (startsWith(Row.Key, MovePrefix))
     this->applyMove(Row);
   else if (startsWith(Row.Key, MemberPrefix))
     this->applyMember(Row);
 }
 
-void MemberBook::applyMember(const TableRow &Row) {
+void MemberRegistry::applyMember(const TableRow &Row) {
   const std::string Name = Row.Key.substr(MemberPrefix.size());
   if (Row.Deleted) {
     this->State.Members.remove(Name);
@@ -86,7 +86,7 @@
   }
 }
 
-void MemberBook::applyMove(const TableRow &Row) {
+void MemberRegistry::applyMove(const TableRow &Row) {
   if (Row.Deleted)
     return;
   const auto Move = decodeVersionMove(Row.Value);
@@ -97,7 +97,8 @@
   this->noteWritten(*Move, Row.Version);
 }
 
-void MemberBook::noteWritten(const VersionMove &Move, std::uint64_t Version) {
+void MemberRegistry::noteWritten(const VersionMove &Move,
+                                 std::uint64_t Version) {
   std::uint64_t &Known = this->MoveVersions[Move.Service];
   if (Version <= Known)
     return;
@@ -105,7 +106,7 @@
   this->State.Versions[Move.Service].adopt(Move);
 }
 
-TableWrite MemberBook::ownRow(Clock::time_point Now) const {
+TableWrite MemberRegistry::ownRow(Clock::time_point Now) const {
   const GatewaySettings &Settings = this->State.Settings;
   MemberRecord Record;
   Record.Name = Settings.Name;
@@ -129,7 +130,7 @@
   return {Table, MemberPrefix + Settings.Name, encodeMember(Record), {}};
 }
 
-TableWrite MemberBook::moveRow(const VersionMove &Move) const {
+TableWrite MemberRegistry::moveRow(const VersionMove &Move) const {
   const auto Known = this->MoveVersions.find(Move.Service);
   return {Table, MovePrefix + Move.Service, encodeVersionMove(Move),
           Known == this->MoveVersions.end() ? 0 : Known->second};
--- a/src/features/gateway/MemberBook.h
+++ b/src/features/gateway/MemberRegistry.h
@@ -1,5 +1,5 @@
-#ifndef REDWINGRACK_GATEWAY_MEMBERBOOK_H
-#define REDWINGRACK_GATEWAY_MEMBERBOOK_H
+#ifndef REDWINGRACK_GATEWAY_MEMBERREGISTRY_H
+#define REDWINGRACK_GATEWAY_MEMBERREGISTRY_H
 
 #include "gateway/SteeringState.h"
 #include "gateway/TableRows.h"
@@ -13,12 +13,12 @@
 
 /// Reads and writes what the instances tell each other through the platform's
 /// table: who they are, what they see, and how far moves have come.
-class MemberBook {
+class MemberRegistry {
 public:
   /// Table of the product's own.
   static constexpr const char *Table = "redwingrack";
 
-  MemberBook(SteeringState &State, std::string Incarnation);
+  MemberRegistry(SteeringState &State, std::string Incarnation);
 
   void applySnapshot(const TableRows &Rows);
   void applyChanges(const TableRows &Rows);
@@ -57,4 +57,4 @@
 
 } // namespace rr
 
-#endif // REDWINGRACK_GATEWAY_MEMBERBOOK_H
+#endif // REDWINGRACK_GATEWAY_MEMBERREGISTRY_H
--- a/src/features/gateway/MoveKeeper.cpp
+++ b/src/features/gateway/MoveKeeper.cpp
@@ -41,9 +41,9 @@
 
 } // namespace
 
-MoveKeeper::MoveKeeper(SteeringState &Known, MemberBook &Book,
+MoveKeeper::MoveKeeper(SteeringState &Known, MemberRegistry &Registry,
                        const TableStore &Tables, const PlatformCodec &Names)
-    : State(Known), Members(Book), Store(Tables), Codec(Names) {}
+    : State(Known), Members(Registry), Store(Tables), Codec(Names) {}
 
 bool MoveKeeper::isLeader() const {
   const std::vector<std::string> Live = this->State.Members.live();
--- a/src/features/gateway/MoveKeeper.h
+++ b/src/features/gateway/MoveKeeper.h
@@ -1,7 +1,7 @@
 #ifndef REDWINGRACK_GATEWAY_MOVEKEEPER_H
 #define REDWINGRACK_GATEWAY_MOVEKEEPER_H
 
-#include "gateway/MemberBook.h"
+#include "gateway/MemberRegistry.h"
 #include "gateway/PlatformCodec.h"
 #include "gateway/SteeringState.h"
 #include "gateway/TableStore.h"
@@ -18,8 +18,8 @@
 /// try.
 class MoveKeeper {
 public:
-  MoveKeeper(SteeringState &State, MemberBook &Members, const TableStore &Store,
-             const PlatformCodec &Codec);
+  MoveKeeper(SteeringState &State, MemberRegistry &Members,
+             const TableStore &Store, const PlatformCodec &Codec);
 
   /// Takes the next step of every move that is due.
   asio::awaitable<void> step();
@@ -32,7 +32,7 @@
   asio::awaitable<void> commit(VersionMove Next);
 
   SteeringState &State;
-  MemberBook &Members;
+  MemberRegistry &Members;
   const TableStore &Store;
   const PlatformCodec &Codec;
 };
--- a/src/features/gateway/OrderBook.cpp
+++ b/src/features/gateway/OrderRegistry.cpp
@@ -1,4 +1,4 @@
-#include "gateway/OrderBook.h"
+#include "gateway/OrderRegistry.h"
 
 #include "logging/EventLog.h"
 
@@ -14,10 +14,10 @@
 
 } // namespace
 
-OrderBook::OrderBook(SteeringState &Known, const PlatformCodec &Names)
+OrderRegistry::OrderRegistry(SteeringState &Known, const PlatformCodec &Names)
     : State(Known), Codec(Names) {}
 
-void OrderBook::applySnapshot(const TableRows &Rows) {
+void OrderRegistry::applySnapshot(const TableRows &Rows) {
   const std::map<std::string, std::string> Before = this->Evacuations;
   for (const auto &[Key, Zone] : Before) {
     const bool Present = std::any_of(
@@ -29,18 +29,18 @@
   this->applyChanges(Rows);
 }
 
-void OrderBook::applyChanges(const TableRows &Rows) {
+void OrderRegistry::applyChanges(const TableRows &Rows) {
   for (const TableRow &Row : Rows.Rows)
     this->apply(Row);
 }
 
-void OrderBook::confirm(Clock::time_point AsOf) {
+void OrderRegistry::confirm(Clock::time_point AsOf) {
   this->State.KeysValidUntil = std::max(
       this->State.KeysValidUntil,
       AsOf + this->State.Settings.Bounds.RevocationTime - RevocationMargin);
 }
 
-void OrderBook::apply(const TableRow &Row) {
+void OrderRegistry::apply(const TableRow &Row) {
   if (Row.Deleted) {
     this->endEvacuation(Row.Key);
     return;
@@ -65,7 +65,7 @@
   }
 }
 
-void OrderBook::adopt(std::shared_ptr<const SteeringConfig> Config) {
+void OrderRegistry::adopt(std::shared_ptr<const SteeringConfig> Config) {
   const auto &Current = this->State.Config;
   if (Current && Current->Version >= Config->Version)
     return;
@@ -77,7 +77,7 @@
     this->ConfigurationChanged(*this->State.Config);
 }
 
-void OrderBook::endEvacuation(const std::string &Key) {
+void OrderRegistry::endEvacuation(const std::string &Key) {
   const auto Found = this->Evacuations.find(Key);
   if (Found == this->Evacuations.end())
     return;
--- a/src/features/gateway/OrderBook.h
+++ b/src/features/gateway/OrderRegistry.h
@@ -1,5 +1,5 @@
-#ifndef REDWINGRACK_GATEWAY_ORDERBOOK_H
-#define REDWINGRACK_GATEWAY_ORDERBOOK_H
+#ifndef REDWINGRACK_GATEWAY_ORDERREGISTRY_H
+#define REDWINGRACK_GATEWAY_ORDERREGISTRY_H
 
 #include "gateway/PlatformCodec.h"
 #include "gateway/SteeringState.h"
@@ -13,9 +13,9 @@
 
 /// Applies the operator's rows: configurations, moves between versions and
 /// evacuations.
-class OrderBook {
+class OrderRegistry {
 public:
-  OrderBook(SteeringState &State, const PlatformCodec &Codec);
+  OrderRegistry(SteeringState &State, const PlatformCodec &Codec);
 
   void applySnapshot(const TableRows &Rows);
   void applyChanges(const TableRows &Rows);
@@ -39,4 +39,4 @@
 
 } // namespace rr
 
-#endif // REDWINGRACK_GATEWAY_ORDERBOOK_H
+#endif // REDWINGRACK_GATEWAY_ORDERREGISTRY_H
--- a/src/features/gateway/SteeringInstance.cpp
+++ b/src/features/gateway/SteeringInstance.cpp
@@ -37,7 +37,7 @@
 /// Idle connections to another instance's look-up.
 constexpr std::size_t KeptPeerLinks = 2;
 constexpr Clock::duration PeerLookupTime = std::chrono::milliseconds(300);
-constexpr Clock::duration HousePeriod = std::chrono::milliseconds(250);
+constexpr Clock::duration MaintenancePeriod = std::chrono::milliseconds(250);
 constexpr std::size_t MostAddresses = 64;
 /// A stopping instance takes requests until callers have a new list, and then
 /// closes idle connections, both as parts of the whole stop time.
@@ -90,7 +90,7 @@
                     },
                     nullptr}),
       MemberTable(
-          Io, this->Store, {MemberBook::Table, MemberPeriod, MemberPeriod},
+          Io, this->Store, {MemberRegistry::Table, MemberPeriod, MemberPeriod},
           {[this](const TableRows &Rows) { this->Members.applySnapshot(Rows); },
            [this](const TableRows &Rows) { this->Members.applyChanges(Rows); },
            nullptr}),
@@ -129,7 +129,7 @@
   asio::co_spawn(this->Context, this->BackendTable.run(), asio::detached);
   asio::co_spawn(this->Context, this->MemberTable.run(), asio::detached);
   asio::co_spawn(this->Context, this->announce(), asio::detached);
-  asio::co_spawn(this->Context, this->keepHouse(), asio::detached);
+  asio::co_spawn(this->Context, this->maintain(), asio::detached);
   return {};
 }
 
@@ -259,7 +259,7 @@
   this->AnnounceTimer.cancel();
 }
 
-asio::awaitable<void> SteeringInstance::keepHouse() {
+asio::awaitable<void> SteeringInstance::maintain() {
   while (!this->Stopped) {
     const Clock::time_point Now = Clock::now();
     this->Requests.links().dropExpired();
@@ -281,7 +281,7 @@
       this->WasReady = true;
       logEvent(Event::SteeringReady);
     }
-    co_await sleepFor(HousePeriod);
+    co_await sleepFor(MaintenancePeriod);
   }
 }
 
--- a/src/features/gateway/SteeringInstance.h
+++ b/src/features/gateway/SteeringInstance.h
@@ -3,11 +3,11 @@
 
 #include "base/Outcome.h"
 #include "base/Timer.h"
-#include "gateway/BackendBook.h"
+#include "gateway/BackendRegistry.h"
 #include "gateway/Gateway.h"
-#include "gateway/MemberBook.h"
+#include "gateway/MemberRegistry.h"
 #include "gateway/MoveKeeper.h"
-#include "gateway/OrderBook.h"
+#include "gateway/OrderRegistry.h"
 #include "gateway/PlatformCodec.h"
 #include "gateway/SteeringState.h"
 #include "gateway/TableStore.h"
@@ -46,7 +46,7 @@
   asio::awaitable<HttpMessage> answerReadiness(HttpMessage Request);
   asio::awaitable<HttpMessage> answerLookup(HttpMessage Request);
   asio::awaitable<void> announce();
-  asio::awaitable<void> keepHouse();
+  asio::awaitable<void> maintain();
   asio::awaitable<void> finish(std::function<void()> Done);
   /// Asks the active instances in the caller's place.
   asio::awaitable<Outcome<HttpMessage>> askActive(HttpMessage Request);
@@ -64,9 +64,9 @@
   HttpServer Callers;
   HttpServer Readiness;
   HttpServer Lookups;
-  OrderBook Orders;
-  BackendBook Backends;
-  MemberBook Members;
+  OrderRegistry Orders;
+  BackendRegistry Backends;
+  MemberRegistry Members;
   MoveKeeper Moves;
   TableWatch OrderTable;
   TableWatch BackendTable;
--- a/src/features/steering/CacheStanding.h
+++ b/src/features/steering/CacheStanding.h
@@ -16,8 +16,8 @@
   /// Where requests go that the first choice has no room for.
   NextHome,
   NextHomeUsed,
-  Stranger,
-  StrangerUsed,
+  Other,
+  OtherUsed,
 };
 
 inline constexpr std::size_t CacheStandings = 6;
--- a/src/features/steering/ObjectHomes.cpp
+++ b/src/features/steering/ObjectHomes.cpp
@@ -75,7 +75,7 @@
   if (std::find(this->Next.begin(), this->Next.end(), &Server) !=
       this->Next.end())
     return Used ? CacheStanding::NextHomeUsed : CacheStanding::NextHome;
-  return Used ? CacheStanding::StrangerUsed : CacheStanding::Stranger;
+  return Used ? CacheStanding::OtherUsed : CacheStanding::Other;
 }
 
 } // namespace rr
--- a/src/features/steering/Placement.h
+++ b/src/features/steering/Placement.h
@@ -18,7 +18,7 @@
   };
   Result Outcome = Result::NoServer;
   BackendPtr Server;
-  CacheStanding Standing = CacheStanding::Stranger;
+  CacheStanding Standing = CacheStanding::Other;
   /// The server bears few requests for now; each needs a token.
   bool Cold = false;
   /// Estimated time to the answer.
--- a/src/features/steering/PlacementRule.cpp
+++ b/src/features/steering/PlacementRule.cpp
@@ -20,7 +20,7 @@
 /// slots to spare: under load such requests would push other objects out of
 /// its cache and make all of its work longer.
 constexpr double HomeLimit = 1.2;
-constexpr double StrangerLimit = 0.34;
+constexpr double OtherLimit = 0.34;
 /// Added for urgent requests and for callers that were refused before.
 constexpr double UrgentAllowance = 0.1;
 constexpr double ReturningAllowance = 0.25;
@@ -101,9 +101,9 @@
       std::chrono::duration<double>(Expected));
   Result.Cost = Expected + Transfer +
                 FailureWeight * Target * currentFailureShare(*Server, Now);
-  const bool IsHome = !UsesCache || Choice.Standing < CacheStanding::Stranger ||
+  const bool IsHome = !UsesCache || Choice.Standing < CacheStanding::Other ||
                       HitShare >= LeastHitShare;
-  double Limit = IsHome ? HomeLimit : StrangerLimit;
+  double Limit = IsHome ? HomeLimit : OtherLimit;
   Limit += Query.Priority <= MostUrgent ? UrgentAllowance : 0;
   Limit += Query.Returning ? ReturningAllowance : 0;
   // Only what is certain counts against a request with little time: the way,
--- a/src/features/steering/tst_PlacementRule.cpp
+++ b/src/features/steering/tst_PlacementRule.cpp
@@ -81,7 +81,7 @@
     fill(*Server, 5);
   const ObjectHomes Homes(S.Query, "s", S.Pool.ofService("stock"));
   for (const BackendPtr &Server : S.Pool.ofService("stock"))
-    if (Homes.standingOf(*Server, false) < CacheStanding::Stranger)
+    if (Homes.standingOf(*Server, false) < CacheStanding::Other)
       fill(*Server, 20);
   CHECK(S.choose().Outcome == Placement::Result::Full);
 }
--- a/src/features/steering/tst_SteeringConfig.cpp
+++ b/src/features/steering/tst_SteeringConfig.cpp
@@ -64,11 +64,11 @@
   const SteeringRoute Route = testRoute();
   for (int Index = 0; Index < 400; ++Index) {
     Work.note(Route, "stock", CacheStanding::HomeUsed, 180ms, 1000);
-    Work.note(Route, "stock", CacheStanding::Stranger, 640ms, 1000);
+    Work.note(Route, "stock", CacheStanding::Other, 640ms, 1000);
   }
   const WorkTimes::Estimate Learned = Work.of(Route, "stock");
   CHECK(std::chrono::abs(Learned.Hit - 180ms) < 10ms);
   CHECK(std::chrono::abs(Learned.Miss - 640ms) < 20ms);
   CHECK(Learned.hitShare(CacheStanding::HomeUsed) > 0.9);
-  CHECK(Learned.hitShare(CacheStanding::Stranger) < 0.1);
+  CHECK(Learned.hitShare(CacheStanding::Other) < 0.1);
 }
