--- a/src/features/gateway/Gateway.cpp
+++ b/src/features/gateway/Gateway.cpp
@@ -88,7 +88,6 @@
 asio::awaitable<HttpMessage> Gateway::handle(HttpMessage Message,
                                              CancellationPtr Cancel) {
   const double Jitter = std::uniform_real_distribution<>()(this->Random);
-  this->State.LastRequest = Clock::now();
   const std::string *Field =
       findHeader(Message.Headers, this->State.Settings.Headers.RequestId);
   const std::string Id = Field ? *Field : "";
--- a/src/features/gateway/InstanceTestBed.cpp
+++ b/src/features/gateway/InstanceTestBed.cpp
@@ -36,7 +36,7 @@
 
 } // namespace
 
-InstanceTestBed::InstanceTestBed() {
+InstanceTestBed::InstanceTestBed(double Capacity) {
   Clock::pause();
   PlatformCodec Codec;
   Codec.BackendTable = "backends";
@@ -75,8 +75,10 @@
     return Reply;
   };
   Codec.IsReadinessCall = [](const HttpMessage &) { return true; };
+  GatewaySettings Settings = testSettings();
+  Settings.Capacity = Capacity;
   this->Instance = std::make_unique<SteeringInstance>(
-      this->Context, testSettings(), this->Tables.tables(), Codec);
+      this->Context, Settings, this->Tables.tables(), Codec);
 }
 
 InstanceTestBed::~InstanceTestBed() { Clock::resume(); }
--- a/src/features/gateway/InstanceTestBed.h
+++ b/src/features/gateway/InstanceTestBed.h
@@ -30,7 +30,8 @@
     std::string Address;
   };
 
-  InstanceTestBed();
+  /// \p Capacity of the instance, compared with others of its zone.
+  explicit InstanceTestBed(double Capacity = 1);
   ~InstanceTestBed();
 
   Backend &addBackend(const std::string &Id, const std::string &Zone = "z-a");
--- a/src/features/gateway/SteeringInstance.cpp
+++ b/src/features/gateway/SteeringInstance.cpp
@@ -34,6 +34,11 @@
 constexpr Clock::duration StandbyPeriod = std::chrono::seconds(8);
 /// A standby that gets a request is in service for this long.
 constexpr Clock::duration WakeTime = std::chrono::seconds(30);
+/// Entries that were asked for this lately are current for a request.
+constexpr Clock::duration RecentEntries = std::chrono::milliseconds(500);
+/// Longest wait for current entries; without the store old ones have to do.
+constexpr Clock::duration LongestCatchUp = std::chrono::milliseconds(300);
+constexpr Clock::duration CatchUpPoll = std::chrono::milliseconds(5);
 /// Idle connections to another instance's look-up.
 constexpr std::size_t KeptPeerLinks = 2;
 constexpr Clock::duration PeerLookupTime = std::chrono::milliseconds(300);
@@ -59,8 +64,8 @@
       State(Settings), Requests(Io, this->State), Peers(Io, KeptPeerLinks, {}),
       Callers(Io,
               [this](HttpMessage Request, CancellationPtr Cancel) {
-                return this->Requests.handle(std::move(Request),
-                                             std::move(Cancel));
+                return this->answerCaller(std::move(Request),
+                                          std::move(Cancel));
               }),
       Readiness(Io,
                 [this](HttpMessage Request, const CancellationPtr &) {
@@ -152,6 +157,23 @@
   this->Callers.setLimits(Applied);
 }
 
+asio::awaitable<HttpMessage>
+SteeringInstance::answerCaller(HttpMessage Request, CancellationPtr Cancel) {
+  this->State.LastRequest = Clock::now();
+  if (this->State.Standby)
+    co_await this->leaveStandby();
+  co_return co_await this->Requests.handle(std::move(Request),
+                                           std::move(Cancel));
+}
+
+asio::awaitable<void> SteeringInstance::leaveStandby() {
+  const Clock::time_point Now = Clock::now();
+  this->reviewStandby(Now);
+  while (this->BackendTable.readStart() + RecentEntries < Now &&
+         Clock::now() - Now < LongestCatchUp)
+    co_await sleepFor(CatchUpPoll);
+}
+
 asio::awaitable<HttpMessage>
 SteeringInstance::answerReadiness(HttpMessage Request) {
   if (!this->Codec.IsReadinessCall(Request))
--- a/src/features/gateway/SteeringInstance.h
+++ b/src/features/gateway/SteeringInstance.h
@@ -43,6 +43,10 @@
   bool isReady() const;
 
 private:
+  asio::awaitable<HttpMessage> answerCaller(HttpMessage Request,
+                                            CancellationPtr Cancel);
+  /// Takes a standby into service, with entries that are not old.
+  asio::awaitable<void> leaveStandby();
   asio::awaitable<HttpMessage> answerReadiness(HttpMessage Request);
   asio::awaitable<HttpMessage> answerLookup(HttpMessage Request);
   asio::awaitable<void> announce();
--- a/src/features/gateway/TableWatch.cpp
+++ b/src/features/gateway/TableWatch.cpp
@@ -26,6 +26,7 @@
 
 asio::awaitable<bool> TableWatch::step() {
   const Clock::time_point Start = bootTime();
+  const Clock::time_point CallStart = Clock::now();
   const bool Full = !this->Loaded;
   // While the store is away, calls that wait there would hide its return.
   const Clock::duration Wait =
@@ -48,6 +49,7 @@
     co_return false;
   this->Contact.succeeded(Clock::now());
   this->Loaded = true;
+  this->ReadStart = CallStart;
   this->Version = std::max(this->Version, Read->Version);
   (Full ? this->Functions.Snapshot : this->Functions.Changes)(*Read);
   // A call that waited in vain shows that nothing had changed by its end.
--- a/src/features/gateway/TableWatch.h
+++ b/src/features/gateway/TableWatch.h
@@ -40,6 +40,8 @@
   /// Runs until stop().
   asio::awaitable<void> run();
   void stop() { this->Stopped = true; }
+  /// Start of the last call that the store answered.
+  Clock::time_point readStart() const { return this->ReadStart; }
   /// Changes the pace; a shorter one takes effect at once.
   void setPace(Clock::duration Wait, Clock::duration Period);
   bool isSettling() const { return this->Contact.isSettling(Clock::now()); }
@@ -56,6 +58,7 @@
   /// Ends the pause between two calls.
   Timer Pause;
   std::uint64_t Version = 0;
+  Clock::time_point ReadStart{};
   bool Loaded = false;
   bool Stopped = false;
 };
--- a/src/features/gateway/tst_SteeringInstance.cpp
+++ b/src/features/gateway/tst_SteeringInstance.cpp
@@ -1,4 +1,5 @@
 #include "gateway/InstanceTestBed.h"
+#include "gateway/MemberCodec.h"
 
 #include <catch2/catch.hpp>
 
@@ -12,7 +13,7 @@
 }
 
 struct Bed : InstanceTestBed {
-  Bed() {
+  explicit Bed(double Capacity = 1) : InstanceTestBed(Capacity) {
     this->addBackend("b1");
     this->addBackend("b2");
     this->configure(1, {"key"});
@@ -268,3 +269,36 @@
   B.advance(3s);
   CHECK(Done);
 }
+
+TEST_CASE("A standby that gets a request reads the entries first, so that a "
+          "server that has begun to drain gets nothing",
+          "[instance]") {
+  Bed B(0.1);
+  const auto PutLarge = [&] {
+    for (const char *Name : {"large1", "large2"}) {
+      MemberRecord Large;
+      Large.Name = Name;
+      Large.Zone = "z-a";
+      Large.Region = "z";
+      Large.Address = "127.0.0.1:1";
+      Large.Capacity = 0.5;
+      Large.WrittenAt = Clock::now().time_since_epoch();
+      B.Tables.put("redwingrack", std::string("instance/") + Name,
+                   encodeMember(Large));
+    }
+  };
+  PutLarge();
+  B.start();
+  B.advance(3s);
+  REQUIRE(B.Instance->state().Standby);
+  CHECK_FALSE(B.Instance->isReady());
+  // Just after a read, so that the next one is seconds away.
+  PutLarge();
+  B.advance(6500ms);
+  B.putBackend("b1", "z-a", true);
+  B.advance(2s);
+  for (int Index = 0; Index < 6; ++Index)
+    CHECK(hasStatus(B.request("GET", "/safe/x"), 200));
+  CHECK(B.Backends.at("b1").Requests.empty());
+  CHECK_FALSE(B.Instance->state().Standby);
+}
