--- a/src/features/gateway/tst_SteeringInstance.cpp
+++ b/src/features/gateway/tst_SteeringInstance.cpp
@@ -292,13 +292,16 @@
   B.advance(3s);
   REQUIRE(B.Instance->state().Standby);
   CHECK_FALSE(B.Instance->isReady());
-  // Just after a read, so that the next one is seconds away.
-  PutLarge();
-  B.advance(6500ms);
-  B.putBackend("b1", "z-a", true);
-  B.advance(2s);
-  for (int Index = 0; Index < 6; ++Index)
-    CHECK(hasStatus(B.request("GET", "/safe/x"), 200));
-  CHECK(B.Backends.at("b1").Requests.empty());
+  for (int Second = 0; Second < 3; ++Second) {
+    PutLarge();
+    B.advance(1s);
+  }
+  for (const char *Id : {"b1", "b2"})
+    B.putBackend(Id, "z-a", true);
+  B.advance(200ms);
+  REQUIRE(B.Instance->state().Standby);
+  REQUIRE_FALSE(B.Instance->state().Backends.find("b1")->Record.Draining);
+  CHECK(hasStatus(B.request("GET", "/safe/x"), 503));
+  CHECK(B.arrivals() == 0);
   CHECK_FALSE(B.Instance->state().Standby);
 }
