Give nothing to a version without a known order, or that was taken back

Found by reading: an instance that does not know the order, since its call was lost or it was restarted, used a new version like any other after 3 s, and one that was taken back at once. Change: the shared state of a move holds without its order, and an unknown version waits for 6 s.

--- a/src/features/steering/VersionSteering.cpp
+++ b/src/features/steering/VersionSteering.cpp
@@ -8,8 +8,9 @@
 
 /// Name that all versions of the baseline share in the comparison.
 const std::string Stable = "stable";
-/// An unknown version is used after this time when no order names it.
-constexpr Clock::duration OrderWait = std::chrono::seconds(3);
+/// An unknown version is used after this time when no order names it. Longer
+/// than a lost call for the orders can hide one.
+constexpr Clock::duration OrderWait = std::chrono::seconds(6);
 /// Below this share every route gets enough of the target to be judged.
 constexpr double SmallShare = 0.1;
 /// Largest share of a rare route while the share is small.
@@ -89,6 +90,10 @@
   if (this->Move)
     Result.Avoided.insert(this->Move->Rejected.begin(),
                           this->Move->Rejected.end());
+  // Holds also where the order is not known or has been replaced.
+  if (this->Move && this->Move->State != VersionMove::Phase::Completed &&
+      (!this->Order || this->Order->Target != this->Move->Target))
+    Result.Avoided.insert(this->Move->Target);
   if (!this->Order)
     return Result;
   const std::string &Target = this->Order->Target;
@@ -96,10 +101,6 @@
   if (!Current || this->Stopped ||
       this->Move->State == VersionMove::Phase::RolledBack) {
     Result.Avoided.insert(Target);
-    // The target of a move that was replaced is not proven.
-    if (this->Move && !Current &&
-        this->Move->State != VersionMove::Phase::Completed)
-      Result.Avoided.insert(this->Move->Target);
     return Result;
   }
   if (this->Move->State == VersionMove::Phase::Completed ||
--- a/src/features/steering/tst_VersionSteering.cpp
+++ b/src/features/steering/tst_VersionSteering.cpp
@@ -55,6 +55,8 @@
   Steering.notePresent({"v1", "v2"}, Clock::now());
   CHECK(Steering.choose("a", Clock::now()).Avoided.count("v2"));
   Clock::advance(4s);
+  CHECK(Steering.choose("a", Clock::now()).Avoided.count("v2"));
+  Clock::advance(3s);
   CHECK_FALSE(Steering.choose("a", Clock::now()).Avoided.count("v2"));
   Clock::resume();
 }
@@ -205,3 +207,22 @@
   CHECK(Steering.isSuspect());
   CHECK_FALSE(Steering.isStopped());
 }
+
+TEST_CASE("A version that is moved to or was taken back gets nothing at an "
+          "instance that does not know the order",
+          "[versions]") {
+  for (const auto State :
+       {VersionMove::Phase::Running, VersionMove::Phase::RolledBack}) {
+    VersionSteering Steering;
+    Steering.notePresent({"v1", "v2"}, Clock::now());
+    VersionMove Move = moveAt(0.3);
+    Move.State = State;
+    Steering.adopt(Move);
+    CHECK(Steering.choose("a", Clock::now()).Avoided.count("v2"));
+  }
+  VersionSteering Steering;
+  VersionMove Done = moveAt(1);
+  Done.State = VersionMove::Phase::Completed;
+  Steering.adopt(Done);
+  CHECK_FALSE(Steering.choose("a", Clock::now()).Avoided.count("v2"));
+}
