--- a/src/features/gateway/Gateway.cpp
+++ b/src/features/gateway/Gateway.cpp
@@ -1,7 +1,7 @@
 #include "gateway/Gateway.h"
 
 #include "base/Errc.h"
-#include "gateway/BootTime.h"
+#include "tables/BootTime.h"
 #include "gateway/GatewayReplies.h"
 #include "gateway/RequestAdmission.h"
 #include "http1/MessageText.h"
--- a/src/features/gateway/GatewaySettings.h
+++ b/src/features/gateway/GatewaySettings.h
@@ -21,6 +21,8 @@
   std::string ReadinessAddress;
   /// Where callers ask for instances; may be empty.
   std::string LookupAddress;
+  /// Where other instances connect, IP:PORT; may be empty.
+  std::string PeerAddress;
   /// Of the platform's store, IP:PORT.
   std::string StoreAddress;
   /// Processor share that the process may use.
--- a/src/features/gateway/InstanceTestBed.h
+++ b/src/features/gateway/InstanceTestBed.h
@@ -1,7 +1,7 @@
 #ifndef REDWINGRACK_GATEWAY_INSTANCETESTBED_H
 #define REDWINGRACK_GATEWAY_INSTANCETESTBED_H
 
-#include "gateway/FakeTables.h"
+#include "tables/FakeTables.h"
 #include "gateway/SteeringInstance.h"
 #include "http1/HttpServer.h"
 #include "http1/LoopbackPeer.h"
--- a/src/features/gateway/MemberCodec.cpp
+++ b/src/features/gateway/MemberCodec.cpp
@@ -14,6 +14,7 @@
               {"zone", Record.Zone},
               {"region", Record.Region},
               {"lookups", Record.LookupAddress},
+              {"peers", Record.PeerAddress},
               {"capacity", Record.Capacity},
               {"standby", Record.Standby},
               {"written_at", WrittenAt.count()},
@@ -35,6 +36,7 @@
     Value.at("zone").get_to(Record.Zone);
     Value.at("region").get_to(Record.Region);
     Value.at("lookups").get_to(Record.LookupAddress);
+    Value.at("peers").get_to(Record.PeerAddress);
     Value.at("capacity").get_to(Record.Capacity);
     Value.at("standby").get_to(Record.Standby);
     Record.WrittenAt = std::chrono::duration_cast<Clock::duration>(
--- a/src/features/gateway/MemberRegistry.cpp
+++ b/src/features/gateway/MemberRegistry.cpp
@@ -1,5 +1,6 @@
 #include "gateway/MemberRegistry.h"
 
+#include "base/Random.h"
 #include "gateway/MemberCodec.h"
 #include "logging/EventLog.h"
 #include "steering/MoveReport.h"
@@ -10,6 +11,7 @@
 
 const std::string MemberPrefix = "instance/";
 const std::string MovePrefix = "move/";
+const std::string SecretKey = "secret";
 
 /// Beyond this the store counts as away.
 constexpr Clock::duration LongestReadGap = std::chrono::milliseconds(3500);
@@ -58,6 +60,8 @@
     this->applyMove(Row);
   else if (startsWith(Row.Key, MemberPrefix))
     this->applyMember(Row);
+  else if (Row.Key == SecretKey && !Row.Deleted)
+    this->State.PeerSecret = Row.Value;
 }
 
 void MemberRegistry::applyMember(const TableRow &Row) {
@@ -116,6 +120,7 @@
   Record.Region = Settings.Region;
   Record.WrittenAt = this->State.Members.storeTime();
   Record.LookupAddress = Settings.LookupAddress;
+  Record.PeerAddress = Settings.PeerAddress;
   Record.Capacity = Settings.Capacity;
   Record.Standby = this->State.Standby;
   Record.Leaving = this->State.Leaving;
@@ -130,6 +135,10 @@
   return {Table, MemberPrefix + Settings.Name, encodeMember(Record), {}};
 }
 
+TableWrite MemberRegistry::secretRow() const {
+  return {Table, SecretKey, randomToken(), 0};
+}
+
 TableWrite MemberRegistry::moveRow(const VersionMove &Move) const {
   const auto Known = this->MoveVersions.find(Move.Service);
   return {Table, MovePrefix + Move.Service, encodeVersionMove(Move),
--- a/src/features/gateway/MemberRegistry.h
+++ b/src/features/gateway/MemberRegistry.h
@@ -2,8 +2,8 @@
 #define REDWINGRACK_GATEWAY_MEMBERREGISTRY_H
 
 #include "gateway/SteeringState.h"
-#include "gateway/TableRows.h"
-#include "gateway/TableWrite.h"
+#include "tables/TableRows.h"
+#include "tables/TableWrite.h"
 
 #include <functional>
 #include <map>
@@ -29,6 +29,8 @@
 
   /// This instance's row.
   TableWrite ownRow(Clock::time_point Now) const;
+  /// A new secret for the links between instances, if there is none yet.
+  TableWrite secretRow() const;
   /// The row with the state of a move, under the condition that nobody has
   /// changed it.
   TableWrite moveRow(const VersionMove &Move) const;
--- a/src/features/gateway/MoveKeeper.cpp
+++ b/src/features/gateway/MoveKeeper.cpp
@@ -26,7 +26,7 @@
   Evidence.TargetRequests = Steering.candidateRequests();
   Evidence.ReadyServers = readyServers(State, Move);
   Evidence.StoreTime = State.Members.storeTime();
-  for (const std::string &Name : State.Members.live()) {
+  for (const std::string &Name : State.Members.inService()) {
     const auto &Rollouts = State.Members.records().at(Name).Rollouts;
     const auto Found = Rollouts.find(Move.Service);
     std::optional<MoveReport> Report;
@@ -46,8 +46,8 @@
     : State(Known), Members(Registry), Store(Tables), Codec(Names) {}
 
 bool MoveKeeper::isLeader() const {
-  const std::vector<std::string> Live = this->State.Members.live();
-  return Live.empty() || Live.front() == this->State.Settings.Name;
+  const std::vector<std::string> Names = this->State.Members.inService();
+  return Names.empty() || Names.front() == this->State.Settings.Name;
 }
 
 bool MoveKeeper::isBusy() const {
--- a/src/features/gateway/MoveKeeper.h
+++ b/src/features/gateway/MoveKeeper.h
@@ -4,7 +4,7 @@
 #include "gateway/MemberRegistry.h"
 #include "gateway/PlatformCodec.h"
 #include "gateway/SteeringState.h"
-#include "gateway/TableStore.h"
+#include "tables/TableStore.h"
 
 #include <asio/awaitable.hpp>
 
@@ -26,9 +26,11 @@
   /// A move is under way or about to begin, so rows should be frequent.
   bool isBusy() const;
 
+  /// Whether this instance is the one that begins and advances moves.
+  bool isLeader() const;
+
 private:
   std::optional<VersionMove> nextState(const std::string &Service) const;
-  bool isLeader() const;
   asio::awaitable<void> commit(VersionMove Next);
 
   SteeringState &State;
--- a/src/features/gateway/OrderRegistry.h
+++ b/src/features/gateway/OrderRegistry.h
@@ -3,7 +3,7 @@
 
 #include "gateway/PlatformCodec.h"
 #include "gateway/SteeringState.h"
-#include "gateway/TableRows.h"
+#include "tables/TableRows.h"
 
 #include <functional>
 #include <map>
--- a/src/features/gateway/RequestAdmission.cpp
+++ b/src/features/gateway/RequestAdmission.cpp
@@ -1,6 +1,6 @@
 #include "gateway/RequestAdmission.h"
 
-#include "gateway/BootTime.h"
+#include "tables/BootTime.h"
 #include "gateway/GatewayReplies.h"
 #include "http1/MessageText.h"
 #include "steering/StableHash.h"
@@ -22,20 +22,6 @@
   return Base + Clock::duration(Clock::rep(double(Width.count()) * Jitter));
 }
 
-std::optional<Clock::duration> deadlineOf(const HttpMessage &Message,
-                                          const std::string &Name) {
-  const std::string *Field = findHeader(Message.Headers, Name);
-  if (!Field)
-    return std::nullopt;
-  double Milliseconds = 0;
-  const auto Read = std::from_chars(
-      Field->data(), Field->data() + Field->size(), Milliseconds);
-  if (Read.ec != std::errc() || !(Milliseconds >= 0) || Milliseconds > 1e9)
-    return std::nullopt;
-  return std::chrono::duration_cast<Clock::duration>(
-      std::chrono::duration<double, std::milli>(Milliseconds));
-}
-
 /// Regions that both lists allow; a list that is empty allows all.
 std::set<std::string> commonHomes(const std::set<std::string> &Left,
                                   const std::set<std::string> &Right,
@@ -57,6 +43,20 @@
 
 } // namespace
 
+std::optional<Clock::duration> callerDeadline(const HttpMessage &Message,
+                                              const GatewayHeaders &Names) {
+  const std::string *Field = findHeader(Message.Headers, Names.Deadline);
+  if (!Field)
+    return std::nullopt;
+  double Milliseconds = 0;
+  const auto Read = std::from_chars(
+      Field->data(), Field->data() + Field->size(), Milliseconds);
+  if (Read.ec != std::errc() || !(Milliseconds >= 0) || Milliseconds > 1e9)
+    return std::nullopt;
+  return std::chrono::duration_cast<Clock::duration>(
+      std::chrono::duration<double, std::milli>(Milliseconds));
+}
+
 AdmissionVerdict admitRequest(SteeringState &State, HttpMessage Message,
                               CancellationPtr Cancel, double Jitter,
                               Clock::time_point Now) {
@@ -100,7 +100,7 @@
           429, "the workspace's rate is used up",
           spread(std::min(Wait, LongestQuotaRetry), UnreadySpread, Jitter));
   }
-  const auto Deadline = deadlineOf(Message, Names.Deadline);
+  const auto Deadline = callerDeadline(Message, Names);
   if (Deadline)
     Request.Returning = State.Returns.isBack(Route.Name, *Deadline);
   Request.Arrived = Now;
--- a/src/features/gateway/RequestAdmission.h
+++ b/src/features/gateway/RequestAdmission.h
@@ -17,6 +17,10 @@
                               CancellationPtr Cancel, double Jitter,
                               Clock::time_point Now);
 
+/// How long the caller waits, as the request says; none when it does not.
+std::optional<Clock::duration> callerDeadline(const HttpMessage &Message,
+                                              const GatewayHeaders &Names);
+
 } // namespace rr
 
 #endif // REDWINGRACK_GATEWAY_REQUESTADMISSION_H
--- /dev/null
+++ b/src/features/gateway/StandbyForwarder.cpp
@@ -0,0 +1,86 @@
+#include "gateway/StandbyForwarder.h"
+
+#include "base/Errc.h"
+#include "gateway/GatewayReplies.h"
+#include "gateway/RequestAdmission.h"
+#include "http1/MessageText.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace rr {
+
+namespace {
+
+/// Idle connections to another instance's look-up.
+constexpr std::size_t KeptLookupLinks = 2;
+constexpr Clock::duration LookupTime = std::chrono::milliseconds(300);
+/// To another instance of the region; a second one can still be tried.
+constexpr Clock::duration ConnectTime = std::chrono::milliseconds(200);
+constexpr std::size_t MostTried = 2;
+/// For a request that names no deadline.
+constexpr Clock::duration LongestRequest = std::chrono::seconds(30);
+constexpr std::size_t LargestAnswer = 64U << 20;
+
+} // namespace
+
+StandbyForwarder::StandbyForwarder(asio::io_context &Io,
+                                   const SteeringState &Known)
+    : State(Known), Lookups(Io, KeptLookupLinks, {}),
+      // A request that may run once must not meet a connection that closes.
+      Requests(Io, 0, ParserLimits{32U << 10, LargestAnswer}) {}
+
+asio::awaitable<std::optional<HttpMessage>>
+StandbyForwarder::forwardRequest(HttpMessage Request, CancellationPtr Cancel) {
+  const GatewaySettings &Settings = this->State.Settings;
+  const Clock::time_point Start = Clock::now();
+  const Clock::duration Left =
+      callerDeadline(Request, Settings.Headers).value_or(LongestRequest);
+  removeHopByHopHeaders(Request.Headers);
+  const auto Near = this->State.Members.nearInService(
+      Settings.Zone, Settings.Region, &MemberRecord::Address);
+  const std::size_t First = this->NextStart++;
+  for (std::size_t I = 0; I < std::min(MostTried, Near.size()); ++I) {
+    LinkPool::Call Call;
+    Call.Address = Near[(First + I) % std::min(MostTried, Near.size())];
+    Call.Request = Request;
+    Call.ConnectDeadline = Clock::now() + ConnectTime;
+    Call.Deadline = Start + Left;
+    Call.Cancel = Cancel;
+    auto Result = co_await this->Requests.call(std::move(Call));
+    if (!Result.Error) {
+      removeHopByHopHeaders(Result.Answer.Headers);
+      Result.Answer.KeepAlive = true;
+      co_return std::move(Result.Answer);
+    }
+    if (Result.Error == make_error_code(Errc::Cancelled))
+      co_return plainReply(499, "the caller has left");
+    if (Result.Error == make_error_code(Errc::Timeout) &&
+        Result.MayHaveBeenSent)
+      co_return plainReply(504, "another instance did not answer in time");
+    if (Result.MayHaveBeenSent)
+      co_return plainReply(502, "another instance's answer was lost");
+  }
+  co_return std::nullopt;
+}
+
+asio::awaitable<std::optional<HttpMessage>>
+StandbyForwarder::forwardLookup(HttpMessage Request) {
+  removeHopByHopHeaders(Request.Headers);
+  const GatewaySettings &Settings = this->State.Settings;
+  for (const std::string &Address : this->State.Members.nearInService(
+           Settings.Zone, Settings.Region, &MemberRecord::LookupAddress)) {
+    LinkPool::Call Call;
+    Call.Address = Address;
+    Call.Request = Request;
+    Call.ConnectDeadline = Call.Deadline = Clock::now() + LookupTime;
+    auto Result = co_await this->Lookups.call(std::move(Call));
+    if (!Result.Error && Result.Answer.Status == 200) {
+      removeHopByHopHeaders(Result.Answer.Headers);
+      co_return std::move(Result.Answer);
+    }
+  }
+  co_return std::nullopt;
+}
+
+} // namespace rr
--- /dev/null
+++ b/src/features/gateway/StandbyForwarder.h
@@ -0,0 +1,40 @@
+#ifndef REDWINGRACK_GATEWAY_STANDBYFORWARDER_H
+#define REDWINGRACK_GATEWAY_STANDBYFORWARDER_H
+
+#include "base/Cancellation.h"
+#include "gateway/SteeringState.h"
+#include "http1/HttpMessage.h"
+#include "http1/LinkPool.h"
+
+#include <asio/awaitable.hpp>
+#include <asio/io_context.hpp>
+
+#include <optional>
+
+namespace rr {
+
+/// Lets instances in service, of the same availability zone or region, answer
+/// what callers send to a standby, which does not know the newest entries.
+class StandbyForwarder {
+public:
+  /// \p State outlives the forwarder.
+  StandbyForwarder(asio::io_context &Context, const SteeringState &State);
+
+  /// The answer to a request; none when it was not sent anywhere.
+  asio::awaitable<std::optional<HttpMessage>>
+  forwardRequest(HttpMessage Request, CancellationPtr Cancel);
+  /// The answer to a look-up; none when nobody gave one.
+  asio::awaitable<std::optional<HttpMessage>>
+  forwardLookup(HttpMessage Request);
+
+private:
+  const SteeringState &State;
+  /// Looks-up may be repeated, so their connections are kept.
+  LinkPool Lookups;
+  LinkPool Requests;
+  std::size_t NextStart = 0;
+};
+
+} // namespace rr
+
+#endif // REDWINGRACK_GATEWAY_STANDBYFORWARDER_H
--- a/src/features/gateway/SteeringInstance.cpp
+++ b/src/features/gateway/SteeringInstance.cpp
@@ -1,7 +1,7 @@
 #include "gateway/SteeringInstance.h"
 
 #include "base/Random.h"
-#include "gateway/BootTime.h"
+#include "tables/BootTime.h"
 #include "gateway/GatewayReplies.h"
 #include "http1/MessageText.h"
 #include "logging/EventLog.h"
@@ -26,22 +26,29 @@
 constexpr Clock::duration BackendPeriod = std::chrono::milliseconds(1000);
 constexpr Clock::duration MemberPeriod = std::chrono::milliseconds(2000);
 constexpr Clock::duration AnnouncePeriod = std::chrono::milliseconds(2400);
+/// Entries of the instances in the first moments, when all of them appear and
+/// many find that they are not needed.
+constexpr Clock::duration StartPeriod = std::chrono::milliseconds(800);
+constexpr Clock::duration StartTime = std::chrono::milliseconds(2500);
 /// Both while a version moves.
 constexpr Clock::duration BusyPeriod = std::chrono::milliseconds(500);
-/// Of an instance that callers are not sent to. Its orders are still proven
-/// all the time, so that it can serve at once.
-constexpr Clock::duration StandbyOrderWait = std::chrono::milliseconds(3400);
-constexpr Clock::duration StandbyPeriod = std::chrono::seconds(8);
-/// A standby that gets a request is in service for this long.
+/// Of an instance that callers are not sent to. It looks often enough whether
+/// it is needed, and within the store's history for the rest.
+constexpr Clock::duration StandbyMemberPeriod = std::chrono::seconds(8);
+constexpr Clock::duration StandbyPeriod = std::chrono::seconds(16);
+/// A standby is ready for this long after a read.
+constexpr Clock::duration StandbyReadyTime = std::chrono::seconds(20);
+/// A standby that gets this many requests in this time goes into service.
+constexpr std::size_t WakeRequests = 12;
+constexpr Clock::duration WakeWindow = std::chrono::seconds(3);
+/// After its last request an instance stays in service for this long.
 constexpr Clock::duration WakeTime = std::chrono::seconds(30);
 /// Entries that were asked for this lately are current for a request.
 constexpr Clock::duration RecentEntries = std::chrono::milliseconds(500);
-/// Longest wait for current entries; without the store old ones have to do.
-constexpr Clock::duration LongestCatchUp = std::chrono::milliseconds(300);
+/// Longest wait for current entries.
+constexpr Clock::duration LongestCatchUp = std::chrono::milliseconds(400);
 constexpr Clock::duration CatchUpPoll = std::chrono::milliseconds(5);
-/// Idle connections to another instance's look-up.
-constexpr std::size_t KeptPeerLinks = 2;
-constexpr Clock::duration PeerLookupTime = std::chrono::milliseconds(300);
+constexpr Clock::duration StandbyRetry = std::chrono::milliseconds(300);
 constexpr Clock::duration MaintenancePeriod = std::chrono::milliseconds(250);
 constexpr std::size_t MostAddresses = 64;
 /// A stopping instance takes requests until callers have a new list, but no
@@ -61,7 +68,7 @@
                                    const GatewaySettings &Settings,
                                    TableStore Tables, PlatformCodec Names)
     : Context(Io), Store(std::move(Tables)), Codec(std::move(Names)),
-      State(Settings), Requests(Io, this->State), Peers(Io, KeptPeerLinks, {}),
+      State(Settings), Requests(Io, this->State), Forwarder(Io, this->State),
       Callers(Io,
               [this](HttpMessage Request, CancellationPtr Cancel) {
                 return this->answerCaller(std::move(Request),
@@ -78,13 +85,23 @@
       Orders(this->State, this->Codec), Backends(this->State, this->Codec),
       Members(this->State, randomToken().substr(0, 8)),
       Moves(this->State, this->Members, this->Store, this->Codec),
+      Relay(
+          Io, this->Store, {Settings.Name, Settings.Zone, Settings.PeerAddress},
+          [this](const std::string &Table) -> std::optional<RelayPeer> {
+            const MemberRecord *Reader = this->State.Members.readerFor(
+                this->State.Settings.Region, Table);
+            if (!Reader)
+              return std::nullopt;
+            return RelayPeer{Reader->Name, Reader->PeerAddress};
+          }),
+      RelayedStore(this->Relay.tables()),
       OrderTable(
           Io, this->Store,
           {this->Codec.OrderTable, OrderWait, Clock::duration{0}},
           {[this](const TableRows &Rows) { this->Orders.applySnapshot(Rows); },
            [this](const TableRows &Rows) { this->Orders.applyChanges(Rows); },
            [this](Clock::time_point AsOf) { this->Orders.confirm(AsOf); }}),
-      BackendTable(Io, this->Store,
+      BackendTable(Io, this->RelayedStore,
                    {this->Codec.BackendTable, BackendPeriod, BackendPeriod},
                    {[this](const TableRows &Rows) {
                       this->Backends.applySnapshot(
@@ -96,7 +113,8 @@
                     },
                     nullptr}),
       MemberTable(
-          Io, this->Store, {MemberRegistry::Table, MemberPeriod, MemberPeriod},
+          Io, this->RelayedStore,
+          {MemberRegistry::Table, MemberPeriod, MemberPeriod},
           {[this](const TableRows &Rows) { this->Members.applySnapshot(Rows); },
            [this](const TableRows &Rows) { this->Members.applyChanges(Rows); },
            nullptr}),
@@ -131,6 +149,7 @@
   logEvent(Event::SteeringStarted, {{"instance", Settings.Name},
                                     {"zone", Settings.Zone},
                                     {"callers", Settings.CallerAddress}});
+  this->StartedAt = Clock::now();
   asio::co_spawn(this->Context, this->OrderTable.run(), asio::detached);
   asio::co_spawn(this->Context, this->BackendTable.run(), asio::detached);
   asio::co_spawn(this->Context, this->MemberTable.run(), asio::detached);
@@ -140,9 +159,13 @@
 }
 
 bool SteeringInstance::isReady() const {
-  return this->State.Config && this->State.BackendsKnown &&
-         this->State.MembersKnown && !this->State.Leaving &&
-         !this->State.Standby && bootTime() < this->State.KeysValidUntil;
+  if (!this->State.Config || !this->State.BackendsKnown ||
+      !this->State.MembersKnown || this->State.Leaving)
+    return false;
+  // A standby proves its keys when a request comes.
+  if (this->State.Standby)
+    return Clock::now() < this->OrderTable.readStart() + StandbyReadyTime;
+  return bootTime() < this->State.KeysValidUntil;
 }
 
 void SteeringInstance::setBounds(const SteeringBounds &Bounds) {
@@ -159,19 +182,55 @@
 
 asio::awaitable<HttpMessage>
 SteeringInstance::answerCaller(HttpMessage Request, CancellationPtr Cancel) {
-  this->State.LastRequest = Clock::now();
-  if (this->State.Standby)
-    co_await this->leaveStandby();
+  this->noteRequest(Clock::now());
+  if (this->State.Standby) {
+    auto Answer = co_await this->Forwarder.forwardRequest(Request, Cancel);
+    if (Answer)
+      co_return std::move(*Answer);
+    const bool Current = co_await this->catchUp();
+    if (!Current)
+      co_return refusalReply(503, "the store does not answer this standby",
+                             StandbyRetry);
+  }
   co_return co_await this->Requests.handle(std::move(Request),
                                            std::move(Cancel));
 }
 
-asio::awaitable<void> SteeringInstance::leaveStandby() {
-  const Clock::time_point Now = Clock::now();
+void SteeringInstance::noteRequest(Clock::time_point Now) {
+  if (this->State.Standby) {
+    this->StandbyRequests.push_back(Now);
+    while (this->StandbyRequests.front() + WakeWindow < Now)
+      this->StandbyRequests.pop_front();
+    if (this->StandbyRequests.size() < WakeRequests)
+      return;
+    this->StandbyRequests.clear();
+  }
+  this->InUseUntil = Now + WakeTime;
   this->reviewStandby(Now);
-  while (this->BackendTable.readStart() + RecentEntries < Now &&
-         Clock::now() - Now < LongestCatchUp)
+}
+
+bool SteeringInstance::isCurrent(Clock::time_point Now) const {
+  return std::min({this->OrderTable.readStart(), this->BackendTable.readStart(),
+                   this->MemberTable.readStart()}) +
+             RecentEntries >=
+         Now;
+}
+
+asio::awaitable<void> SteeringInstance::refresh(TableWatch &Table) {
+  ++this->Refreshes;
+  co_await Table.refresh();
+  --this->Refreshes;
+}
+
+asio::awaitable<bool> SteeringInstance::catchUp() {
+  const Clock::time_point Now = Clock::now();
+  if (!this->isCurrent(Now) && this->Refreshes == 0)
+    for (TableWatch *Table :
+         {&this->OrderTable, &this->BackendTable, &this->MemberTable})
+      asio::co_spawn(this->Context, this->refresh(*Table), asio::detached);
+  while (!this->isCurrent(Now) && Clock::now() - Now < LongestCatchUp)
     co_await sleepFor(CatchUpPoll);
+  co_return this->isCurrent(Now);
 }
 
 asio::awaitable<HttpMessage>
@@ -194,7 +253,7 @@
                            std::chrono::milliseconds(300));
   if (this->State.Standby) {
     // What a standby knows of the others is old.
-    auto Answer = co_await this->askActive(Request);
+    auto Answer = co_await this->Forwarder.forwardLookup(Request);
     if (Answer)
       co_return std::move(*Answer);
   }
@@ -215,30 +274,13 @@
       Addresses, this->State.Settings.Bounds.LookupLifetime);
 }
 
-asio::awaitable<Outcome<HttpMessage>>
-SteeringInstance::askActive(HttpMessage Request) {
-  removeHopByHopHeaders(Request.Headers);
-  const GatewaySettings &Settings = this->State.Settings;
-  for (const std::string &Address :
-       this->State.Members.activeLookups(Settings.Zone, Settings.Region)) {
-    LinkPool::Call Call;
-    Call.Address = Address;
-    Call.Request = Request;
-    Call.ConnectDeadline = Call.Deadline = Clock::now() + PeerLookupTime;
-    auto Result = co_await this->Peers.call(std::move(Call));
-    if (!Result.Error && Result.Answer.Status == 200) {
-      removeHopByHopHeaders(Result.Answer.Headers);
-      co_return std::move(Result.Answer);
-    }
-  }
-  co_return failure(Errc::Unavailable);
-}
-
 asio::awaitable<void> SteeringInstance::announce() {
   while (!this->Stopped) {
     if (this->State.MembersKnown) {
       std::vector<TableWrite> Writes;
       Writes.push_back(this->Members.ownRow(Clock::now()));
+      if (this->State.PeerSecret.empty() && this->Moves.isLeader())
+        Writes.push_back(this->Members.secretRow());
       const auto Written = co_await this->Store.Commit(std::move(Writes));
       if (Written && this->State.Config && this->State.BackendsKnown)
         co_await this->Moves.step();
@@ -257,21 +299,21 @@
 
 void SteeringInstance::applyPace(bool Busy) {
   if (this->State.Standby) {
-    this->OrderTable.setPace(StandbyOrderWait, Clock::duration{0});
+    this->OrderTable.setPace(Clock::duration{0}, StandbyPeriod);
     this->BackendTable.setPace(BackendPeriod, StandbyPeriod);
-    this->MemberTable.setPace(MemberPeriod, StandbyPeriod);
+    this->MemberTable.setPace(MemberPeriod, StandbyMemberPeriod);
     return;
   }
-  const Clock::duration Period = Busy ? BusyPeriod : MemberPeriod;
+  Clock::duration Period = Busy ? BusyPeriod : MemberPeriod;
+  if (!Busy && Clock::now() - this->StartedAt < StartTime)
+    Period = StartPeriod;
   this->OrderTable.setPace(OrderWait, Clock::duration{0});
   this->BackendTable.setPace(BackendPeriod, BackendPeriod);
   this->MemberTable.setPace(Period, Period);
 }
 
 void SteeringInstance::reviewStandby(Clock::time_point Now) {
-  const bool Used = this->State.LastRequest != Clock::time_point{} &&
-                    Now - this->State.LastRequest < WakeTime;
-  const bool Standby = this->State.MembersKnown && !Used &&
+  const bool Standby = this->State.MembersKnown && Now >= this->InUseUntil &&
                        !this->State.Members.isActive(this->State.Settings.Name);
   if (Standby == this->State.Standby)
     return;
@@ -286,6 +328,7 @@
   while (!this->Stopped) {
     const Clock::time_point Now = Clock::now();
     this->Requests.links().dropExpired();
+    this->Relay.start(this->State.PeerSecret);
     // A standby judges the others as of its last read.
     if (!this->State.Standby)
       this->Members.advanceStoreTime(Now);
@@ -333,6 +376,7 @@
              {{"count", std::to_string(this->Callers.activeRequests())}});
   logEvent(Event::SteeringStopped);
   this->Stopped = true;
+  this->Relay.stop();
   Done();
 }
 
--- a/src/features/gateway/SteeringInstance.h
+++ b/src/features/gateway/SteeringInstance.h
@@ -9,14 +9,17 @@
 #include "gateway/MoveKeeper.h"
 #include "gateway/OrderRegistry.h"
 #include "gateway/PlatformCodec.h"
+#include "gateway/StandbyForwarder.h"
 #include "gateway/SteeringState.h"
-#include "gateway/TableStore.h"
-#include "gateway/TableWatch.h"
+#include "tables/TableStore.h"
+#include "tables/TableRelay.h"
+#include "tables/TableWatch.h"
 #include "http1/HttpServer.h"
 
 #include <asio/awaitable.hpp>
 #include <asio/io_context.hpp>
 
+#include <deque>
 #include <functional>
 #include <string>
 
@@ -45,15 +48,18 @@
 private:
   asio::awaitable<HttpMessage> answerCaller(HttpMessage Request,
                                             CancellationPtr Cancel);
-  /// Takes a standby into service, with entries that are not old.
-  asio::awaitable<void> leaveStandby();
+  /// Keeps the instance in service, or takes it there when callers come often.
+  void noteRequest(Clock::time_point Now);
+  /// Reads at a standby what may have changed since it last looked. False
+  /// when the store did not answer in time.
+  asio::awaitable<bool> catchUp();
+  asio::awaitable<void> refresh(TableWatch &Table);
+  bool isCurrent(Clock::time_point Now) const;
   asio::awaitable<HttpMessage> answerReadiness(HttpMessage Request);
   asio::awaitable<HttpMessage> answerLookup(HttpMessage Request);
   asio::awaitable<void> announce();
   asio::awaitable<void> maintain();
   asio::awaitable<void> finish(std::function<void()> Done);
-  /// Asks the active instances in the caller's place.
-  asio::awaitable<Outcome<HttpMessage>> askActive(HttpMessage Request);
   void applyPace(bool Busy);
   void reviewStandby(Clock::time_point Now);
   void applyLimits(const ClientLimits &Limits);
@@ -63,8 +69,7 @@
   PlatformCodec Codec;
   SteeringState State;
   Gateway Requests;
-  /// To the look-ups of other instances.
-  LinkPool Peers;
+  StandbyForwarder Forwarder;
   HttpServer Callers;
   HttpServer Readiness;
   HttpServer Lookups;
@@ -72,11 +77,20 @@
   BackendRegistry Backends;
   MemberRegistry Members;
   MoveKeeper Moves;
+  TableRelay Relay;
+  /// The store, with reads through other instances.
+  TableStore RelayedStore;
   TableWatch OrderTable;
   TableWatch BackendTable;
   TableWatch MemberTable;
   /// Wakes announce() early.
   Timer AnnounceTimer;
+  Clock::time_point StartedAt{};
+  /// Callers were served lately; the instance does not stand by before.
+  Clock::time_point InUseUntil{};
+  /// The last requests that came to a standby.
+  std::deque<Clock::time_point> StandbyRequests;
+  int Refreshes = 0;
   bool Stopped = false;
   bool WasReady = false;
 };
--- a/src/features/gateway/SteeringState.h
+++ b/src/features/gateway/SteeringState.h
@@ -56,8 +56,8 @@
   bool MembersKnown = false;
   /// Callers are not sent here for now.
   bool Standby = false;
-  /// Last request of a caller.
-  Clock::time_point LastRequest{};
+  /// Known to all instances and to nobody else; empty before it is read.
+  std::string PeerSecret;
   /// A stop was asked for.
   bool Leaving = false;
 };
--- a/src/features/gateway/tst_SteeringInstance.cpp
+++ b/src/features/gateway/tst_SteeringInstance.cpp
@@ -270,38 +270,123 @@
   CHECK(Done);
 }
 
-TEST_CASE("A standby that gets a request reads the entries first, so that a "
-          "server that has begun to drain gets nothing",
-          "[instance]") {
-  Bed B(0.1);
-  const auto PutLarge = [&] {
+namespace {
+
+/// An instance that is small beside two others of its zone, which cannot be
+/// reached unless the test puts something at their address.
+struct StandbyBed : Bed {
+  StandbyBed() : Bed(0.1) {
+    this->putLarge();
+    this->start();
+    for (int Second = 0; Second < 6; ++Second) {
+      this->advance(1s);
+      this->putLarge();
+    }
+  }
+
+  void putLarge() {
     for (const char *Name : {"large1", "large2"}) {
       MemberRecord Large;
       Large.Name = Name;
       Large.Zone = "z-a";
       Large.Region = "z";
-      Large.Address = "127.0.0.1:1";
+      Large.Address = this->LargeAddress;
       Large.Capacity = 0.5;
       Large.WrittenAt = Clock::now().time_since_epoch();
-      B.Tables.put("redwingrack", std::string("instance/") + Name,
-                   encodeMember(Large));
+      this->Tables.put("redwingrack", std::string("instance/") + Name,
+                       encodeMember(Large));
     }
-  };
-  PutLarge();
-  B.start();
-  B.advance(3s);
-  REQUIRE(B.Instance->state().Standby);
-  CHECK_FALSE(B.Instance->isReady());
-  for (int Second = 0; Second < 3; ++Second) {
-    PutLarge();
-    B.advance(1s);
   }
+
+  std::string LargeAddress = "127.0.0.1:1";
+};
+
+} // namespace
+
+TEST_CASE("A standby that gets a request reads the entries first, so that a "
+          "server that has begun to drain gets nothing",
+          "[standby]") {
+  StandbyBed B;
+  REQUIRE(B.Instance->state().Standby);
+  CHECK(B.Instance->isReady());
   for (const char *Id : {"b1", "b2"})
     B.putBackend(Id, "z-a", true);
   B.advance(200ms);
-  REQUIRE(B.Instance->state().Standby);
   REQUIRE_FALSE(B.Instance->state().Backends.find("b1")->Record.Draining);
   CHECK(hasStatus(B.request("GET", "/safe/x"), 503));
   CHECK(B.arrivals() == 0);
+  CHECK(B.Instance->state().Backends.find("b1")->Record.Draining);
+}
+
+TEST_CASE("A standby passes a request on to an instance in service and reads "
+          "nothing for it",
+          "[standby]") {
+  StandbyBed B;
+  std::vector<HttpMessage> Received;
+  HttpServer Large(B.Context,
+                   [&](HttpMessage Request,
+                       const CancellationPtr &) -> asio::awaitable<HttpMessage> {
+                     Received.push_back(Request);
+                     HttpMessage Reply = Bed::goodAnswer(Request);
+                     Reply.Body = "passed on";
+                     co_return Reply;
+                   });
+  REQUIRE(Large.listen("127.0.0.1:0"));
+  B.LargeAddress = "127.0.0.1:" + std::to_string(Large.port());
+  for (int Second = 0; Second < 10; ++Second) {
+    B.putLarge();
+    B.advance(1s);
+  }
+  const int Before = B.Tables.Calls;
+  const std::string Answer = B.request("POST", "/order/x");
+  CHECK(hasStatus(Answer, 200));
+  CHECK(Answer.find("passed on") != std::string::npos);
+  REQUIRE(Received.size() == 1);
+  // The key is checked where the request is served.
+  CHECK(findHeader(Received[0].Headers, "Key"));
+  CHECK(B.Tables.Calls - Before <= 1);
+  CHECK(B.arrivals() == 0);
+}
+
+TEST_CASE("A standby serves with the newest configuration, and removes servers "
+          "that left while it did not look",
+          "[standby]") {
+  StandbyBed B;
+  B.advance(8s);
+  B.configure(7, {"newkey"});
+  B.Tables.erase("backends", "b1");
+  B.advance(100ms);
+  REQUIRE(B.Instance->state().Config->Version != 7);
+  CHECK(hasStatus(B.request("GET", "/safe/x", "newkey"), 200));
+  CHECK(hasStatus(B.request("GET", "/safe/x", "key"), 401));
+  CHECK(B.Backends.at("b1").Requests.empty());
+}
+
+TEST_CASE("A standby that cannot read the store refuses, since its entries are "
+          "old",
+          "[standby]") {
+  StandbyBed B;
+  B.Tables.Down = true;
+  B.advance(1s);
+  CHECK(hasStatus(B.request("GET", "/open/x"), 503));
+  CHECK(B.arrivals() == 0);
+  B.Tables.Down = false;
+  CHECK(hasStatus(B.request("GET", "/open/x"), 200));
+}
+
+TEST_CASE("A few requests do not take a standby into service, many do",
+          "[standby]") {
+  StandbyBed B;
+  const int Before = B.Tables.Calls;
+  for (int Request = 0; Request < 4; ++Request) {
+    CHECK(hasStatus(B.request("GET", "/open/x"), 200));
+    B.advance(1s);
+  }
+  CHECK(B.Instance->state().Standby);
+  // Three reads for each request and few others.
+  CHECK(B.Tables.Calls - Before <= 4 * 3 + 4);
+  for (int Request = 0; Request < 14; ++Request)
+    CHECK(hasStatus(B.request("GET", "/open/x"), 200));
   CHECK_FALSE(B.Instance->state().Standby);
+  CHECK(B.Instance->isReady());
 }
--- a/src/features/steering/MemberRecord.h
+++ b/src/features/steering/MemberRecord.h
@@ -19,6 +19,8 @@
   std::string Region;
   /// Where callers ask for instances, IP:PORT; may be empty.
   std::string LookupAddress;
+  /// Where other instances connect, IP:PORT; may be empty.
+  std::string PeerAddress;
   /// Processor share that the instance may use; tells large ones from small.
   double Capacity = 1;
   /// Is not named to callers for now, and writes and reads seldom.
--- a/src/features/steering/MemberView.cpp
+++ b/src/features/steering/MemberView.cpp
@@ -11,7 +11,7 @@
 /// The period of the records, the time until they are read, and a margin.
 constexpr Clock::duration LiveTime = std::chrono::milliseconds(5200);
 /// The same for instances that are not named to callers.
-constexpr Clock::duration StandbyLiveTime = std::chrono::seconds(18);
+constexpr Clock::duration StandbyLiveTime = std::chrono::seconds(36);
 /// An instance is large from this part of the largest one of its zone.
 constexpr double LargePart = 0.5;
 /// With fewer large ones, all instances of a zone are active.
@@ -69,21 +69,38 @@
 }
 
 std::vector<std::string>
-MemberView::activeLookups(const std::string &Zone,
-                          const std::string &Region) const {
+MemberView::nearInService(const std::string &Zone, const std::string &Region,
+                          std::string MemberRecord::*Address) const {
   std::vector<std::string> Result;
   for (const int Nearness : {0, 1})
     for (const auto &Item : this->Records) {
       const MemberRecord &Record = Item.second;
       const bool Near = Record.Zone == Zone;
       if (Record.Name != this->Self && !Record.Standby &&
-          this->isLive(Record) && !Record.LookupAddress.empty() &&
+          this->isLive(Record) && !(Record.*Address).empty() &&
           (Nearness == 0 ? Near : !Near && Record.Region == Region))
-        Result.push_back(Record.LookupAddress);
+        Result.push_back(Record.*Address);
     }
   return Result;
 }
 
+const MemberRecord *MemberView::readerFor(const std::string &Region,
+                                          const std::string &Table) const {
+  const MemberRecord *Best = nullptr;
+  std::uint64_t BestHash = 0;
+  for (const auto &[Name, Record] : this->Records) {
+    const std::uint64_t Hash = mixHashes(stableHash(Table), stableHash(Name));
+    if (Record.Region == Region && !Record.Standby && this->isLive(Record) &&
+        !Record.PeerAddress.empty() && (!Best || Hash > BestHash) &&
+        // One that serves for some seconds only would not read for long.
+        this->isActive(Record)) {
+      Best = &Record;
+      BestHash = Hash;
+    }
+  }
+  return Best && Best->Name != this->Self ? Best : nullptr;
+}
+
 std::vector<std::string> MemberView::live() const {
   std::vector<std::string> Names;
   for (const auto &[Name, Record] : this->Records)
@@ -92,6 +109,14 @@
   return Names;
 }
 
+std::vector<std::string> MemberView::inService() const {
+  std::vector<std::string> Names;
+  for (const auto &[Name, Record] : this->Records)
+    if (this->isLive(Record) && !Record.Standby)
+      Names.push_back(Name);
+  return Names;
+}
+
 std::size_t MemberView::holders() const {
   std::size_t Count = this->Records.count(this->Self) ? 0 : 1;
   for (const auto &Item : this->Records)
@@ -106,8 +131,11 @@
   const auto Collect = [&](const auto &Matches) {
     std::vector<std::string> Result;
     for (const auto &Item : this->Records)
+      // Whether a standby still runs is known too late to send callers there;
+      // it names itself when it is needed.
       if (this->isLive(Item.second) && Matches(Item.second) &&
-          Result.size() < Most && this->isActive(Item.second))
+          Result.size() < Most && !Item.second.Standby &&
+          this->isActive(Item.second))
         Result.push_back(Item.second.Address);
     return Result;
   };
--- a/src/features/steering/MemberView.h
+++ b/src/features/steering/MemberView.h
@@ -30,6 +30,8 @@
   }
   /// Names of the instances that wrote lately and do not leave, in order.
   std::vector<std::string> live() const;
+  /// Those of live() that are no standbys; only they serve many callers.
+  std::vector<std::string> inService() const;
   /// Whether callers are sent to the instance: it is one of the large ones of
   /// its zone, or there are too few of those.
   bool isActive(const MemberRecord &Record) const;
@@ -44,10 +46,17 @@
                                         const std::set<std::string> &Homes,
                                         std::size_t Most) const;
 
-  /// Where the active instances answer look-ups, those of the zone and then of
-  /// the region first.
-  std::vector<std::string> activeLookups(const std::string &Zone,
-                                         const std::string &Region) const;
+  /// One address of each other instance in service, those of the zone before
+  /// those of the rest of the region. Empty addresses are left out.
+  std::vector<std::string>
+  nearInService(const std::string &Zone, const std::string &Region,
+                std::string MemberRecord::*Address) const;
+
+  /// The active instance of \p Region that reads \p Table for the others
+  /// there; null when it is this one or there is none. The same at all
+  /// instances that know the same ones.
+  const MemberRecord *readerFor(const std::string &Region,
+                                const std::string &Table) const;
 
   /// This instance's part of a workspace's rate, 0 to 1. Follows the demand
   /// that the instances have published, this one included, so that the parts
--- a/src/features/tables/BootTime.cpp
+++ b/src/features/tables/BootTime.cpp
@@ -1,4 +1,4 @@
-#include "gateway/BootTime.h"
+#include "tables/BootTime.h"
 
 #include <ctime>
 
--- a/src/features/tables/BootTime.h
+++ b/src/features/tables/BootTime.h
@@ -1,5 +1,5 @@
-#ifndef REDWINGRACK_GATEWAY_BOOTTIME_H
-#define REDWINGRACK_GATEWAY_BOOTTIME_H
+#ifndef REDWINGRACK_TABLES_BOOTTIME_H
+#define REDWINGRACK_TABLES_BOOTTIME_H
 
 #include "base/Clock.h"
 
@@ -11,4 +11,4 @@
 
 } // namespace rr
 
-#endif // REDWINGRACK_GATEWAY_BOOTTIME_H
+#endif // REDWINGRACK_TABLES_BOOTTIME_H
--- a/src/features/tables/FakeTables.cpp
+++ b/src/features/tables/FakeTables.cpp
@@ -1,4 +1,4 @@
-#include "gateway/FakeTables.h"
+#include "tables/FakeTables.h"
 
 #include "base/Timer.h"
 
--- a/src/features/tables/FakeTables.h
+++ b/src/features/tables/FakeTables.h
@@ -1,7 +1,7 @@
-#ifndef REDWINGRACK_GATEWAY_FAKETABLES_H
-#define REDWINGRACK_GATEWAY_FAKETABLES_H
+#ifndef REDWINGRACK_TABLES_FAKETABLES_H
+#define REDWINGRACK_TABLES_FAKETABLES_H
 
-#include "gateway/TableStore.h"
+#include "tables/TableStore.h"
 
 #include <map>
 #include <string>
@@ -48,4 +48,4 @@
 
 } // namespace rr
 
-#endif // REDWINGRACK_GATEWAY_FAKETABLES_H
+#endif // REDWINGRACK_TABLES_FAKETABLES_H
--- /dev/null
+++ b/src/features/tables/RelayMessages.cpp
@@ -0,0 +1,69 @@
+#include "tables/RelayMessages.h"
+
+#include "peerlink/MessageBody.h"
+
+#include <nlohmann/json.hpp>
+
+namespace rr {
+
+using nlohmann::json;
+
+namespace {
+
+// Keys and values come from any writer and need not be UTF-8.
+json bytesOf(const std::string &Text) {
+  return json::binary({Text.begin(), Text.end()});
+}
+
+std::string textOf(const json &Bytes) {
+  const auto &Content = Bytes.get_binary();
+  return {Content.begin(), Content.end()};
+}
+
+} // namespace
+
+std::string encodeRelayQuery(const RelayQuery &Query) {
+  return encodeBody(json::array({Query.Table, Query.After}));
+}
+
+Outcome<RelayQuery> decodeRelayQuery(const std::string &Body) {
+  const auto Value = decodeBody(Body);
+  if (!Value || !Value->is_array() || Value->size() != 2 ||
+      !(*Value)[0].is_string() || !(*Value)[1].is_number_unsigned())
+    return failure(Errc::Malformed);
+  return RelayQuery{(*Value)[0].get<std::string>(),
+                    (*Value)[1].get<std::uint64_t>()};
+}
+
+std::string encodeRelayRows(const TableRows &Rows) {
+  json Items = json::array();
+  for (const TableRow &Row : Rows.Rows)
+    Items.push_back(json::array({bytesOf(Row.Key), bytesOf(Row.Value),
+                                 Row.Version, Row.Deleted}));
+  return encodeBody(json::array(
+      {Rows.Version, Rows.StoreTime.count(), std::move(Items)}));
+}
+
+Outcome<TableRows> decodeRelayRows(const std::string &Body) {
+  const auto Value = decodeBody(Body);
+  if (!Value)
+    return tl::unexpected<std::error_code>(Value.error());
+  try {
+    TableRows Result;
+    Value->at(0).get_to(Result.Version);
+    Result.StoreTime = Clock::duration(Value->at(1).get<Clock::rep>());
+    for (const json &Item : Value->at(2)) {
+      TableRow Row;
+      Row.Key = textOf(Item.at(0));
+      Row.Value = textOf(Item.at(1));
+      Item.at(2).get_to(Row.Version);
+      Item.at(3).get_to(Row.Deleted);
+      Result.Rows.push_back(std::move(Row));
+    }
+    return Result;
+  } catch (const json::exception &) {
+    return failure(Errc::Malformed);
+  }
+}
+
+} // namespace rr
--- a/src/features/tables/StoreContact.cpp
+++ b/src/features/tables/StoreContact.cpp
@@ -1,4 +1,4 @@
-#include "gateway/StoreContact.h"
+#include "tables/StoreContact.h"
 
 #include "logging/EventLog.h"
 
@@ -20,7 +20,8 @@
 
 void StoreContact::succeeded(Clock::time_point Now) {
   const bool Known = this->LastSuccess != Clock::time_point{};
-  if (Known && Now - this->LastSuccess > LapseGap)
+  // A gap without a failed call is the reader's own pause.
+  if (Known && this->Failures > 0 && Now - this->LastSuccess > LapseGap)
     this->SettledAt = Now + SettlingTime;
   if (this->Failures > 0)
     logEvent(
--- a/src/features/tables/TableRow.h
+++ b/src/features/tables/TableRow.h
@@ -1,5 +1,5 @@
-#ifndef REDWINGRACK_GATEWAY_TABLEROW_H
-#define REDWINGRACK_GATEWAY_TABLEROW_H
+#ifndef REDWINGRACK_TABLES_TABLEROW_H
+#define REDWINGRACK_TABLES_TABLEROW_H
 
 #include <cstdint>
 #include <string>
@@ -18,4 +18,4 @@
 
 } // namespace rr
 
-#endif // REDWINGRACK_GATEWAY_TABLEROW_H
+#endif // REDWINGRACK_TABLES_TABLEROW_H
--- a/src/features/tables/TableRows.h
+++ b/src/features/tables/TableRows.h
@@ -1,8 +1,8 @@
-#ifndef REDWINGRACK_GATEWAY_TABLEROWS_H
-#define REDWINGRACK_GATEWAY_TABLEROWS_H
+#ifndef REDWINGRACK_TABLES_TABLEROWS_H
+#define REDWINGRACK_TABLES_TABLEROWS_H
 
 #include "base/Clock.h"
-#include "gateway/TableRow.h"
+#include "tables/TableRow.h"
 
 #include <cstdint>
 #include <vector>
@@ -16,8 +16,10 @@
   std::uint64_t Version = 0;
   /// The store's clock.
   Clock::duration StoreTime{0};
+  /// Another instance passed them on, at the pace of its own reads.
+  bool Relayed = false;
 };
 
 } // namespace rr
 
-#endif // REDWINGRACK_GATEWAY_TABLEROWS_H
+#endif // REDWINGRACK_TABLES_TABLEROWS_H
--- a/src/features/tables/TableStore.h
+++ b/src/features/tables/TableStore.h
@@ -1,9 +1,9 @@
-#ifndef REDWINGRACK_GATEWAY_TABLESTORE_H
-#define REDWINGRACK_GATEWAY_TABLESTORE_H
+#ifndef REDWINGRACK_TABLES_TABLESTORE_H
+#define REDWINGRACK_TABLES_TABLESTORE_H
 
 #include "base/Outcome.h"
-#include "gateway/TableRows.h"
-#include "gateway/TableWrite.h"
+#include "tables/TableRows.h"
+#include "tables/TableWrite.h"
 
 #include <asio/awaitable.hpp>
 
@@ -34,4 +34,4 @@
 
 } // namespace rr
 
-#endif // REDWINGRACK_GATEWAY_TABLESTORE_H
+#endif // REDWINGRACK_TABLES_TABLESTORE_H
--- a/src/features/tables/TableWatch.cpp
+++ b/src/features/tables/TableWatch.cpp
@@ -1,7 +1,7 @@
-#include "gateway/TableWatch.h"
+#include "tables/TableWatch.h"
 
 #include "base/Timer.h"
-#include "gateway/BootTime.h"
+#include "tables/BootTime.h"
 #include "logging/EventLog.h"
 
 #include <asio/redirect_error.hpp>
@@ -49,9 +49,9 @@
     co_return false;
   this->Contact.succeeded(Clock::now());
   this->Loaded = true;
-  this->ReadStart = CallStart;
-  this->Version = std::max(this->Version, Read->Version);
-  (Full ? this->Functions.Snapshot : this->Functions.Changes)(*Read);
+  this->Relayed = Read->Relayed;
+  this->ReadStart = std::max(this->ReadStart, CallStart);
+  this->apply(*Read, Full);
   // A call that waited in vain shows that nothing had changed by its end.
   const bool WaitedInVain =
       !Full && Read->Rows.empty() && bootTime() - Start >= Wait;
@@ -60,6 +60,32 @@
   co_return true;
 }
 
+void TableWatch::apply(const TableRows &Read, bool Full) {
+  // Of two reads that overlap, the one with the newer version had everything
+  // that the other one has.
+  if (Read.Version < this->Version)
+    return;
+  this->Version = Read.Version;
+  (Full ? this->Functions.Snapshot : this->Functions.Changes)(Read);
+}
+
+asio::awaitable<bool> TableWatch::refresh() {
+  if (!this->Loaded)
+    co_return false;
+  const Clock::time_point Start = bootTime();
+  const Clock::time_point CallStart = Clock::now();
+  const auto Read = co_await this->Store.ReadChanges(
+      this->Chosen.Table, this->Version, Clock::duration{0});
+  if (this->Stopped || !Read)
+    co_return false;
+  this->Contact.succeeded(Clock::now());
+  this->ReadStart = std::max(this->ReadStart, CallStart);
+  this->apply(*Read, false);
+  if (this->Functions.Confirmed)
+    this->Functions.Confirmed(Start);
+  co_return true;
+}
+
 asio::awaitable<void> TableWatch::pauseFor(Clock::duration Time) {
   asio::error_code Ignored;
   this->Pause.expires_after(Time);
@@ -76,6 +102,9 @@
       co_await sleepFor(this->Contact.failed(Clock::now(), Jitter));
       continue;
     }
+    // The other instance's next read would be missed during a pause.
+    if (this->Relayed && this->Chosen.Period <= this->Chosen.Wait)
+      continue;
     const Clock::duration Passed = Clock::now() - Start;
     if (WasLoaded && this->Loaded && Passed < this->Chosen.Period)
       co_await this->pauseFor(this->Chosen.Period - Passed);
--- a/src/features/tables/TableWatch.h
+++ b/src/features/tables/TableWatch.h
@@ -1,11 +1,11 @@
-#ifndef REDWINGRACK_GATEWAY_TABLEWATCH_H
-#define REDWINGRACK_GATEWAY_TABLEWATCH_H
+#ifndef REDWINGRACK_TABLES_TABLEWATCH_H
+#define REDWINGRACK_TABLES_TABLEWATCH_H
 
 #include "base/Clock.h"
 #include "base/Random.h"
 #include "base/Timer.h"
-#include "gateway/StoreContact.h"
-#include "gateway/TableStore.h"
+#include "tables/StoreContact.h"
+#include "tables/TableStore.h"
 
 #include <asio/awaitable.hpp>
 #include <asio/io_context.hpp>
@@ -39,6 +39,8 @@
 
   /// Runs until stop().
   asio::awaitable<void> run();
+  /// Reads the changes at once, beside run(). True when the store answered.
+  asio::awaitable<bool> refresh();
   void stop() { this->Stopped = true; }
   /// Start of the last call that the store answered.
   Clock::time_point readStart() const { return this->ReadStart; }
@@ -48,6 +50,7 @@
 
 private:
   asio::awaitable<bool> step();
+  void apply(const TableRows &Read, bool Full);
   asio::awaitable<void> pauseFor(Clock::duration Time);
 
   const TableStore &Store;
@@ -60,9 +63,11 @@
   std::uint64_t Version = 0;
   Clock::time_point ReadStart{};
   bool Loaded = false;
+  /// The last rows came from another instance, when its own read ended.
+  bool Relayed = false;
   bool Stopped = false;
 };
 
 } // namespace rr
 
-#endif // REDWINGRACK_GATEWAY_TABLEWATCH_H
+#endif // REDWINGRACK_TABLES_TABLEWATCH_H
--- a/src/features/tables/TableWrite.h
+++ b/src/features/tables/TableWrite.h
@@ -1,5 +1,5 @@
-#ifndef REDWINGRACK_GATEWAY_TABLEWRITE_H
-#define REDWINGRACK_GATEWAY_TABLEWRITE_H
+#ifndef REDWINGRACK_TABLES_TABLEWRITE_H
+#define REDWINGRACK_TABLES_TABLEWRITE_H
 
 #include <cstdint>
 #include <optional>
@@ -19,4 +19,4 @@
 
 } // namespace rr
 
-#endif // REDWINGRACK_GATEWAY_TABLEWRITE_H
+#endif // REDWINGRACK_TABLES_TABLEWRITE_H
--- /dev/null
+++ b/src/features/tables/tst_TableRelay.cpp
@@ -0,0 +1,207 @@
+#include "tables/FakeTables.h"
+#include "tables/TableRelay.h"
+#include "tables/TableWatch.h"
+
+#include "testing/TestLoop.h"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace rr;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One instance that follows the table "t".
+struct Reader {
+  Reader(TestLoop &Loop, const std::string &Name, TableStore Direct)
+      : Direct(std::move(Direct)),
+        Relay(Loop.context(), this->Direct, {Name, "z", "127.0.0.1:0"},
+              [this](const std::string &) { return this->Peer; }),
+        Store(this->Relay.tables()),
+        Watch(Loop.context(), this->Store, {"t", 1s, 1s},
+              {[this](const TableRows &Rows) { this->apply(Rows); },
+               [this](const TableRows &Rows) { this->apply(Rows); }, nullptr}) {
+    this->Relay.start("secret");
+    Loop.spawn(
+        [this]() -> asio::awaitable<void> { co_await this->Watch.run(); });
+  }
+
+  void apply(const TableRows &Rows) {
+    for (const TableRow &Row : Rows.Rows)
+      if (Row.Deleted)
+        this->Seen.erase(Row.Key);
+      else
+        this->Seen[Row.Key] = Row.Value;
+  }
+
+  TableStore Direct;
+  std::optional<RelayPeer> Peer;
+  TableRelay Relay;
+  TableStore Store;
+  TableWatch Watch;
+  std::map<std::string, std::string> Seen;
+};
+
+/// A first instance that reads the store, and a second that follows it.
+struct RelayBed {
+  RelayBed() {
+    this->Second.Peer =
+        RelayPeer{"first", "127.0.0.1:" +
+                               std::to_string(this->First.Relay.port())};
+    this->advance(3s);
+  }
+  ~RelayBed() {
+    this->First.Watch.stop();
+    this->Second.Watch.stop();
+    this->First.Relay.stop();
+    this->Second.Relay.stop();
+    this->advance(5s);
+  }
+
+  /// Leaves the kernel time to deliver between steps of the paused clock.
+  void advance(Clock::duration Time) {
+    for (Clock::duration Passed{0}; Passed < Time; Passed += 50ms) {
+      Clock::advance(50ms);
+      for (int Round = 0; Round < 3; ++Round) {
+        this->Loop.run();
+        std::this_thread::sleep_for(200us);
+      }
+      this->Loop.run();
+    }
+  }
+
+  TestLoop Loop;
+  FakeTables Tables;
+  /// Reads of the second instance at the store.
+  int SecondReads = 0;
+  Reader First{this->Loop, "first", this->Tables.tables()};
+  Reader Second{this->Loop, "second", this->counted()};
+
+  TableStore counted() {
+    TableStore Result = this->Tables.tables();
+    Result.ReadChanges = [this, Read = Result.ReadChanges](
+                             std::string Table, std::uint64_t After,
+                             Clock::duration Wait) {
+      ++this->SecondReads;
+      return Read(std::move(Table), After, Wait);
+    };
+    return Result;
+  }
+};
+
+} // namespace
+
+// Guards against instances that all read the same from the store.
+TEST_CASE("An instance gets changes and removals from another one's reads",
+          "[relay]") {
+  RelayBed Bed;
+  Bed.SecondReads = 0;
+  Bed.Tables.put("t", "a", std::string("\xff\x00 not text", 11));
+  Bed.Tables.put("t", "b", "2");
+  Bed.advance(1200ms);
+  CHECK(Bed.Second.Seen == Bed.First.Seen);
+  CHECK(Bed.Second.Seen.size() == 2);
+  Bed.Tables.erase("t", "b");
+  Bed.advance(1200ms);
+  CHECK(Bed.Second.Seen.size() == 1);
+  CHECK(Bed.SecondReads == 0);
+  CHECK(Bed.Second.Relay.relayedReads() > 1);
+}
+
+// Guards against changes that come two periods late, because an answer and
+// the next question miss each other.
+TEST_CASE("A change reaches the follower with the reader's next read",
+          "[relay]") {
+  RelayBed Bed;
+  for (int Step = 0; Step < 20; ++Step) {
+    Bed.Tables.put("t", "a", std::to_string(Step));
+    Bed.advance(1150ms);
+    CHECK(Bed.Second.Seen.at("a") == std::to_string(Step));
+  }
+}
+
+// Guards against a follower that stays with an instance that the store turns
+// away.
+TEST_CASE("The store is read directly when the other instance cannot read it",
+          "[relay]") {
+  RelayBed Bed;
+  Bed.First.Direct.ReadChanges =
+      [](std::string, std::uint64_t,
+         Clock::duration) -> asio::awaitable<Outcome<TableRows>> {
+    co_return failure(Errc::Unavailable);
+  };
+  Bed.advance(1s);
+  Bed.SecondReads = 0;
+  Bed.Tables.put("t", "a", "1");
+  Bed.advance(1500ms);
+  CHECK(Bed.Second.Seen.count("a"));
+  CHECK(Bed.SecondReads > 0);
+}
+
+// Guards against a follower that waits for an instance that has died or does
+// not answer any more.
+TEST_CASE("The store is read directly when the other instance is silent",
+          "[relay]") {
+  RelayBed Bed;
+  Bed.First.Watch.stop();
+  Bed.advance(1s);
+  Bed.Tables.put("t", "a", "1");
+  Bed.advance(2500ms);
+  CHECK(Bed.Second.Seen.count("a"));
+  Bed.First.Relay.stop();
+  Bed.Tables.put("t", "b", "1");
+  Bed.advance(1500ms);
+  CHECK(Bed.Second.Seen.count("b"));
+}
+
+// Guards against a chain of instances that wait for each other, and against
+// changes that are lost when a follower becomes the reader.
+TEST_CASE("An instance that follows another one is not followed itself",
+          "[relay]") {
+  RelayBed Bed;
+  Reader Third(Bed.Loop, "third", Bed.Tables.tables());
+  Third.Peer = RelayPeer{
+      "second", "127.0.0.1:" + std::to_string(Bed.Second.Relay.port())};
+  Bed.advance(1s);
+  Bed.Tables.put("t", "a", "1");
+  Bed.advance(1500ms);
+  CHECK(Third.Seen.count("a"));
+  CHECK(Third.Relay.relayedReads() == 0);
+  Bed.Second.Peer.reset();
+  Bed.Tables.put("t", "b", "1");
+  Bed.advance(6s);
+  Bed.Tables.put("t", "c", "1");
+  Bed.advance(1500ms);
+  CHECK(Third.Seen == Bed.First.Seen);
+  CHECK(Third.Relay.relayedReads() > 0);
+  Third.Watch.stop();
+  Third.Relay.stop();
+  Bed.advance(3s);
+}
+
+// Guards against a standby that takes old entries for current ones.
+TEST_CASE("A read that must not wait goes to the store", "[relay]") {
+  RelayBed Bed;
+  Bed.SecondReads = 0;
+  Bed.Tables.put("t", "a", "1");
+  bool Done = false;
+  Bed.Loop.spawn([&]() -> asio::awaitable<void> {
+    Done = co_await Bed.Second.Watch.refresh();
+  });
+  Bed.Loop.run();
+  CHECK(Done);
+  CHECK(Bed.SecondReads == 1);
+  CHECK(Bed.Second.Seen.count("a"));
+  Bed.advance(2s);
+  CHECK(Bed.Second.Seen.at("a") == "1");
+}
+
+// Guards against bytes of a peer that end the process.
+TEST_CASE("Malformed relay messages are refused", "[relay]") {
+  CHECK_FALSE(decodeRelayQuery("x"));
+  CHECK_FALSE(decodeRelayRows("x"));
+  CHECK_FALSE(decodeRelayRows(encodeRelayQuery({"t", 1})));
+  CHECK_FALSE(decodeRelayQuery(encodeRelayRows({})));
+}
--- a/src/features/tables/tst_TableWatch.cpp
+++ b/src/features/tables/tst_TableWatch.cpp
@@ -1,5 +1,5 @@
-#include "gateway/FakeTables.h"
-#include "gateway/TableWatch.h"
+#include "tables/FakeTables.h"
+#include "tables/TableWatch.h"
 
 #include "testing/TestLoop.h"
 
@@ -100,3 +100,16 @@
   CHECK(Bed.Seen.empty());
   CHECK(Bed.Snapshots >= 2);
 }
+
+// Guards against a server that has left and stays in use because a reader
+// that reads seldom takes its own pause for an outage.
+TEST_CASE("A pause between reads is not taken for an outage", "[watch]") {
+  WatchBed Bed;
+  Bed.Loop.spawn([&]() -> asio::awaitable<void> { co_await Bed.Watch.run(); });
+  Bed.Watch.setPace(2s, 8s);
+  Bed.Loop.advance(20s);
+  Bed.Tables.put("t", "a", "1");
+  Bed.Loop.advance(9s);
+  CHECK(Bed.Seen.count("a"));
+  CHECK_FALSE(Bed.Watch.isSettling());
+}
