--- a/src/features/gateway/tst_SteeringInstance.cpp
+++ b/src/features/gateway/tst_SteeringInstance.cpp
@@ -276,7 +276,7 @@
           "[metrics]") {
   Bed B;
   B.start();
-  B.configure(2, {"key"}, 5);
+  B.configure(2, {"key"}, 100);
   B.advance(3s);
   for (const char *Id : {"b1", "b2"})
     B.Backends.at(Id).Answers.assign(1, Bed::notRunAnswer);
@@ -297,7 +297,8 @@
         "steering_attempts_total{region=\"z\",result=\"not_run\",service="
         "\"stock\"}",
         "steering_servers{region=\"z\",service=\"stock\",state=\"ready\"} 2",
-        "steering_rate_share{workspace=\"w\"} 1",
+        "steering_rate_share{workspace=\"w\"} ",
+        "steering_demand{workspace=\"w\"} ",
         "steering_retry_tokens{service=\"stock\"}",
         "steering_age_seconds{subject=\"orders\"}",
         "store_calls_total{call=\"read_changes\",result=\"done\"}",
