--- a/src/features/gateway/Gateway.cpp
+++ b/src/features/gateway/Gateway.cpp
@@ -7,6 +7,7 @@
 #include "gateway/SteeringMetrics.h"
 #include "http1/MessageText.h"
 #include "steering/ObservedLoad.h"
+#include "steering/RetryReserve.h"
 
 #include <algorithm>
 
@@ -28,8 +29,6 @@
 /// Answers slower than this many times what is expected without a cached
 /// object count against a new version.
 constexpr double SlowVersionFactor = 2;
-/// Used part of the retry budget; the rest is for differences in counting.
-constexpr double BudgetPart = 0.7;
 /// The cap on shifts gives way for this long after a server was lost.
 constexpr Clock::duration LossTime = std::chrono::seconds(8);
 /// When a refused caller comes back: about one request's work later, spread
@@ -186,7 +185,8 @@
   const double ColdRate =
       Service == Request.Config->Services.end() ? 0 : Service->second.ColdRate;
   const ColdPermit Permit = [&](const BackendState &Server) {
-    return this->State.ColdServers.take(Server, ColdRate, this->State.Members,
+    return this->State.Tenure.holds(bootTime()) &&
+           this->State.ColdServers.take(Server, ColdRate, this->State.Members,
                                         Now);
   };
   return choosePlacement(Query, this->State.Backends.ofService(Sofar.Service),
@@ -319,17 +319,11 @@
 }
 
 RetryBudget &Gateway::budgetOf(const std::string &Service) {
-  const auto Found = this->State.Retries.find(Service);
-  if (Found != this->State.Retries.end())
-    return Found->second;
+  RetryBudget &Budget = this->State.Retries[Service];
   const SteeringBounds &Bounds = this->State.Settings.Bounds;
-  const double Holders = double(this->State.Members.holders());
-  const auto Percent =
-      static_cast<std::uint32_t>(100 * BudgetPart * Bounds.RetryRatio);
-  const auto Reserve = static_cast<std::uint32_t>(
-      std::max(1.0, BudgetPart * Bounds.RetryExtra / Holders));
-  return this->State.Retries.emplace(Service, RetryBudget(Percent, Reserve))
-      .first->second;
+  applyRetryReserve(Budget, {Bounds.RetryRatio, Bounds.RetryExtra},
+                    this->State.Members);
+  return Budget;
 }
 
 bool Gateway::mayRetry(const GatewayRequest &Request, const Progress &Sofar,
--- a/src/features/gateway/MemberCodec.cpp
+++ b/src/features/gateway/MemberCodec.cpp
@@ -6,8 +6,18 @@
 
 using nlohmann::json;
 
+namespace {
+
+Clock::duration secondsAt(const json &Value, const char *Key) {
+  return std::chrono::duration_cast<Clock::duration>(
+      std::chrono::duration<double>(Value.at(Key).get<double>()));
+}
+
+} // namespace
+
 std::string encodeMember(const MemberRecord &Record) {
   const std::chrono::duration<double> WrittenAt = Record.WrittenAt;
+  const std::chrono::duration<double> ContactSince = Record.ContactSince;
   return json{{"name", Record.Name},
               {"incarnation", Record.Incarnation},
               {"address", Record.Address},
@@ -17,7 +27,9 @@
               {"peers", Record.PeerAddress},
               {"capacity", Record.Capacity},
               {"standby", Record.Standby},
+              {"joining", Record.Joining},
               {"written_at", WrittenAt.count()},
+              {"contact_since", ContactSince.count()},
               {"leaving", Record.Leaving},
               {"demand", Record.Demand},
               {"rollouts", Record.Rollouts}}
@@ -39,8 +51,9 @@
     Value.at("peers").get_to(Record.PeerAddress);
     Value.at("capacity").get_to(Record.Capacity);
     Value.at("standby").get_to(Record.Standby);
-    Record.WrittenAt = std::chrono::duration_cast<Clock::duration>(
-        std::chrono::duration<double>(Value.at("written_at").get<double>()));
+    Value.at("joining").get_to(Record.Joining);
+    Record.WrittenAt = secondsAt(Value, "written_at");
+    Record.ContactSince = secondsAt(Value, "contact_since");
     Value.at("leaving").get_to(Record.Leaving);
     Value.at("demand").get_to(Record.Demand);
     Value.at("rollouts").get_to(Record.Rollouts);
--- a/src/features/gateway/MemberRegistry.cpp
+++ b/src/features/gateway/MemberRegistry.cpp
@@ -4,6 +4,7 @@
 #include "gateway/MemberCodec.h"
 #include "logging/EventLog.h"
 #include "steering/MoveReport.h"
+#include "tables/BootTime.h"
 
 namespace rr {
 
@@ -15,6 +16,9 @@
 
 /// Beyond this the store counts as away.
 constexpr Clock::duration LongestReadGap = std::chrono::milliseconds(3500);
+/// Longer than the time between two reads; the others may not have been able
+/// to write either.
+constexpr Clock::duration LongestContactGap = std::chrono::milliseconds(2600);
 
 bool startsWith(const std::string &Text, const std::string &Prefix) {
   return Text.compare(0, Prefix.size(), Prefix) == 0;
@@ -42,11 +46,27 @@
 }
 
 void MemberRegistry::applyChanges(const TableRows &Rows) {
+  const Clock::time_point Now = bootTime();
+  const bool First = this->ReadAt == Clock::time_point{};
   this->ReadStoreTime = Rows.StoreTime;
   this->ReadAt = Clock::now();
-  this->State.Members.setStoreTime(Rows.StoreTime);
+  this->State.Members.noteRead(
+      Rows.StoreTime, First || Now - this->ReadAtBoot > LongestContactGap);
+  this->ReadAtBoot = Now;
   for (const TableRow &Row : Rows.Rows)
     this->apply(Row);
+  const auto &Records = this->State.Members.records();
+  const auto Own = Records.find(this->State.Settings.Name);
+  if (First && Own != Records.end() && !Own->second.Standby)
+    this->State.Tenure.noteFound(Rows.StoreTime - Own->second.WrittenAt, Now);
+}
+
+void MemberRegistry::noteOwnRow(Clock::time_point Start) {
+  if (this->State.Standby)
+    this->State.Tenure.release();
+  else
+    this->State.Tenure.noteWritten(Start, bootTime(),
+                                   this->State.Members.hasDroppedSelf());
 }
 
 void MemberRegistry::advanceStoreTime(Clock::time_point Now) {
@@ -123,6 +143,9 @@
   Record.PeerAddress = Settings.PeerAddress;
   Record.Capacity = Settings.Capacity;
   Record.Standby = this->State.Standby;
+  Record.Joining = !this->State.Tenure.holds(bootTime()) &&
+                   this->State.Members.hasDroppedSelf();
+  Record.ContactSince = this->State.Members.contactSince();
   Record.Leaving = this->State.Leaving;
   Record.Demand = this->State.Quotas.demand(Now);
   for (const auto &[Service, Steering] : this->State.Versions) {
--- a/src/features/gateway/MemberRegistry.h
+++ b/src/features/gateway/MemberRegistry.h
@@ -35,6 +35,9 @@
   /// changed it.
   TableWrite moveRow(const VersionMove &Move) const;
 
+  /// This instance's row was written by a call that began at \p Start on
+  /// bootTime().
+  void noteOwnRow(Clock::time_point Start);
   /// Takes a row that this instance has just written.
   void noteWritten(const VersionMove &Move, std::uint64_t Version);
 
@@ -52,6 +55,8 @@
   /// The store's clock at the last read, and when that was.
   Clock::duration ReadStoreTime{0};
   Clock::time_point ReadAt{};
+  /// The same on bootTime().
+  Clock::time_point ReadAtBoot{};
   /// By service.
   std::map<std::string, std::uint64_t> MoveVersions;
   std::function<void(const std::string &)> VersionStopped;
--- a/src/features/gateway/RequestAdmission.cpp
+++ b/src/features/gateway/RequestAdmission.cpp
@@ -92,6 +92,10 @@
   if (Impossible)
     return refusalReply(503, "no region may serve this request",
                         spread(UnreadyRetry, UnreadySpread, Jitter));
+  if (Request.Workspace && Request.Workspace->Rate > 0 &&
+      !State.Tenure.holds(bootTime()))
+    return refusalReply(503, "the others do not count on this instance yet",
+                        spread(UnreadyRetry, UnreadySpread, Jitter));
   if (Request.Workspace) {
     const Clock::duration Wait = State.Quotas.take(
         *Request.Workspace, State.Members, State.Settings.Bounds.Quota, Now);
--- a/src/features/gateway/SteeringInstance.cpp
+++ b/src/features/gateway/SteeringInstance.cpp
@@ -180,7 +180,8 @@
   // A standby proves its keys when a request comes.
   if (this->State.Standby)
     return Clock::now() < this->OrderTable.readStart() + StandbyReadyTime;
-  return bootTime() < this->State.KeysValidUntil;
+  const Clock::time_point Now = bootTime();
+  return Now < this->State.KeysValidUntil && this->State.Tenure.holds(Now);
 }
 
 void SteeringInstance::setBounds(const SteeringBounds &Bounds) {
@@ -202,10 +203,13 @@
                     bootTime() - this->State.OrdersAsOf > OldestOrders))
     co_return StandbyForwarder::declined();
   this->noteRequest(Clock::now());
-  if (this->State.Standby) {
+  if (this->State.MembersKnown &&
+      (this->State.Standby || !this->State.Tenure.holds(bootTime()))) {
     auto Answer = co_await this->Forwarder.forwardRequest(Request, Cancel);
     if (Answer)
       co_return std::move(*Answer);
+  }
+  if (this->State.Standby) {
     const bool Current = co_await this->catchUp();
     if (!Current)
       co_return refusalReply(503, "the store does not answer this standby",
@@ -328,7 +332,10 @@
       Writes.push_back(this->Members.ownRow(Clock::now()));
       if (this->State.PeerSecret.empty() && this->Moves.isLeader())
         Writes.push_back(this->Members.secretRow());
+      const Clock::time_point Start = bootTime();
       const auto Written = co_await this->Store.Commit(std::move(Writes));
+      if (Written)
+        this->Members.noteOwnRow(Start);
       if (Written && this->State.Config && this->State.BackendsKnown)
         co_await this->Moves.step();
     }
@@ -337,13 +344,18 @@
     this->applyPace(Busy);
     const Clock::duration Usual =
         this->State.Standby ? StandbyPeriod : AnnouncePeriod;
-    this->AnnounceTimer.expires_after(Busy && !this->State.Standby ? BusyPeriod
-                                                                   : Usual);
+    this->AnnounceTimer.expires_after(std::min(
+        Busy && !this->State.Standby ? BusyPeriod : Usual, this->joinWait()));
     co_await this->AnnounceTimer.async_wait(
         asio::redirect_error(asio::use_awaitable, Ignored));
   }
 }
 
+Clock::duration SteeringInstance::joinWait() const {
+  const Clock::duration Wait = this->State.Tenure.joinsAt() - bootTime();
+  return Wait > Clock::duration::zero() ? Wait : Clock::duration::max();
+}
+
 void SteeringInstance::applyPace(bool Busy) {
   if (this->State.Standby) {
     this->OrderTable.setPace(Clock::duration{0}, StandbyPeriod);
@@ -376,6 +388,11 @@
     const Clock::time_point Now = Clock::now();
     this->Requests.links().dropExpired();
     this->Relay.start(this->State.PeerSecret);
+    // Its row has grown old while the store was away.
+    if (this->State.MembersKnown && !this->State.Standby &&
+        this->State.Tenure.isLapsed(bootTime()) &&
+        Now - this->MemberTable.readStart() < MaintenancePeriod)
+      this->AnnounceTimer.cancel();
     // A standby judges the others as of its last read.
     if (!this->State.Standby)
       this->Members.advanceStoreTime(Now);
--- a/src/features/gateway/SteeringInstance.h
+++ b/src/features/gateway/SteeringInstance.h
@@ -63,6 +63,8 @@
   asio::awaitable<void> announce();
   asio::awaitable<void> maintain();
   asio::awaitable<void> finish(std::function<void()> Done);
+  /// Until this instance shares the sums; endless when it does, or may not.
+  Clock::duration joinWait() const;
   void applyPace(bool Busy);
   void reviewStandby(Clock::time_point Now);
   void applyLimits(const ClientLimits &Limits);
--- a/src/features/gateway/SteeringState.h
+++ b/src/features/gateway/SteeringState.h
@@ -10,6 +10,7 @@
 #include "steering/NetworkTimes.h"
 #include "steering/QuotaGate.h"
 #include "steering/ReturningCallers.h"
+#include "steering/ShareTenure.h"
 #include "steering/ShiftLimiter.h"
 #include "steering/SplitChooser.h"
 #include "steering/SteeringConfig.h"
@@ -39,6 +40,8 @@
   Clock::time_point KeysValidUntil{};
   BackendPool Backends;
   MemberView Members;
+  /// Of this instance in the sums that all share; on bootTime().
+  ShareTenure Tenure;
   NetworkTimes Network;
   WorkTimes Work;
   ShiftLimiter Shifts;
--- a/src/features/gateway/tst_SteeringInstance.cpp
+++ b/src/features/gateway/tst_SteeringInstance.cpp
@@ -476,5 +476,58 @@
   for (int Request = 0; Request < 14; ++Request)
     CHECK(hasStatus(B.request("GET", "/open/x"), 200));
   CHECK_FALSE(B.Instance->state().Standby);
+  // The others count on it in the workspaces' rates a moment later.
+  for (int Second = 0; Second < 3; ++Second) {
+    B.putLarge();
+    B.advance(1s);
+  }
+  CHECK(B.Instance->isReady());
+  CHECK(hasStatus(B.request("GET", "/safe/x"), 200));
+}
+
+// Guards against a rate that is used by an instance and by those that have
+// taken its part.
+TEST_CASE("An instance that cannot renew its row stops using the rates before "
+          "the others take its part",
+          "[tenure]") {
+  Bed B;
+  B.start();
+  B.configure(2, {"key"}, 100);
+  B.advance(2s);
+  CHECK(hasStatus(B.request("GET", "/safe/x"), 200));
+  B.Tables.RefuseWrites = true;
+  B.advance(5s);
+  CHECK_FALSE(B.Instance->isReady());
+  CHECK(hasStatus(B.request("GET", "/safe/x"), 503));
+  CHECK(hasStatus(B.request("GET", "/open/x"), 200));
+  B.Tables.RefuseWrites = false;
+  B.advance(3s);
+  CHECK(B.Instance->isReady());
+}
+
+TEST_CASE("A new instance beside others that serve is named to callers when "
+          "they count on it",
+          "[tenure]") {
+  Bed B;
+  const auto PutOther = [&B] {
+    MemberRecord Other;
+    Other.Name = "other";
+    Other.Zone = "z-a";
+    Other.Region = "z";
+    Other.Address = "127.0.0.1:1";
+    Other.WrittenAt = Clock::now().time_since_epoch();
+    B.Tables.put("redwingrack", "instance/other", encodeMember(Other));
+  };
+  PutOther();
+  B.start();
+  B.advance(500ms);
+  const std::string *Row = B.Tables.find("redwingrack", "instance/i0");
+  REQUIRE(Row);
+  CHECK(decodeMember(*Row)->Joining);
+  CHECK_FALSE(B.Instance->isReady());
+  PutOther();
+  B.advance(2200ms);
+  Row = B.Tables.find("redwingrack", "instance/i0");
+  CHECK_FALSE(decodeMember(*Row)->Joining);
   CHECK(B.Instance->isReady());
 }
--- a/src/features/retry/RetryBudget.cpp
+++ b/src/features/retry/RetryBudget.cpp
@@ -13,6 +13,12 @@
 RetryBudget::RetryBudget(std::uint32_t Percent, std::uint32_t Reserve)
     : PointsPerRequest(Percent), MostPoints(Reserve * PointsPerRetry) {}
 
+void RetryBudget::setLimits(std::uint32_t Percent, std::uint32_t Reserve) {
+  this->PointsPerRequest = Percent;
+  this->MostPoints = Reserve * PointsPerRetry;
+  this->Points = std::min(this->Points, this->MostPoints);
+}
+
 void RetryBudget::addRequest() {
   this->Points =
       std::min(this->Points + this->PointsPerRequest, this->MostPoints);
--- a/src/features/retry/RetryBudget.h
+++ b/src/features/retry/RetryBudget.h
@@ -18,6 +18,9 @@
   explicit RetryBudget(std::uint32_t Percent = DefaultPercent,
                        std::uint32_t Reserve = DefaultReserve);
 
+  /// Replaces both bounds; retries saved up beyond the new reserve are lost.
+  void setLimits(std::uint32_t Percent, std::uint32_t Reserve);
+
   /// Counts a request that came from a caller.
   void addRequest();
   /// Takes one retry if there is one.
--- a/src/features/steering/MemberRecord.h
+++ b/src/features/steering/MemberRecord.h
@@ -25,8 +25,12 @@
   double Capacity = 1;
   /// Is not named to callers for now, and writes and reads seldom.
   bool Standby = false;
+  /// Shares the sums soon, but takes no callers yet.
+  bool Joining = false;
   /// Time of the store's clock when this was written.
   Clock::duration WrittenAt{0};
+  /// The instance has read the store without a gap since then.
+  Clock::duration ContactSince{0};
   /// Takes no new callers.
   bool Leaving = false;
   /// Requests a second that each workspace sends here.
--- a/src/features/steering/MemberView.cpp
+++ b/src/features/steering/MemberView.cpp
@@ -8,10 +8,15 @@
 
 namespace {
 
-/// The period of the records, the time until they are read, and a margin.
-constexpr Clock::duration LiveTime = std::chrono::milliseconds(5200);
-/// The same for instances that are not named to callers.
+/// As MemberView::LiveTime, for instances that are not named to callers.
 constexpr Clock::duration StandbyLiveTime = std::chrono::seconds(36);
+/// After a gap all instances have written and read again within this time.
+constexpr Clock::duration ContactTime = std::chrono::seconds(6);
+/// An instance whose contact is younger will read a new record before
+/// ContactTime is over.
+constexpr Clock::duration RejoinTime = std::chrono::milliseconds(3500);
+/// Records older than this are of instances that are gone in any case.
+constexpr Clock::duration OldestHolder = std::chrono::seconds(60);
 /// An instance is large from this part of the largest one of its zone.
 constexpr double LargePart = 0.5;
 /// With fewer large ones, all instances of a zone are active.
@@ -34,13 +39,20 @@
 
 void MemberView::remove(const std::string &Name) { this->Records.erase(Name); }
 
-bool MemberView::isRecent(const MemberRecord &Record) const {
+void MemberView::noteRead(Clock::duration Time, bool AfterGap) {
+  this->StoreTime = this->ReadTime = Time;
+  if (AfterGap)
+    this->ContactSince = Time;
+}
+
+bool MemberView::isRecent(const MemberRecord &Record,
+                          Clock::duration Now) const {
   const Clock::duration Time = Record.Standby ? StandbyLiveTime : LiveTime;
-  return Record.Name == this->Self || Record.WrittenAt + Time > this->StoreTime;
+  return Record.Name == this->Self || Record.WrittenAt + Time > Now;
 }
 
 bool MemberView::isLive(const MemberRecord &Record) const {
-  return !Record.Leaving && this->isRecent(Record);
+  return !Record.Leaving && this->isRecent(Record, this->StoreTime);
 }
 
 bool MemberView::isActive(const MemberRecord &Record) const {
@@ -64,8 +76,25 @@
 }
 
 bool MemberView::holdsShares(const MemberRecord &Record) const {
-  return this->isRecent(Record) &&
-         (Record.Name == this->Self || !Record.Standby);
+  if (Record.Name == this->Self)
+    return true;
+  if (Record.Standby)
+    return false;
+  // Between reads nobody is forgotten: the store may be away, and then nobody
+  // can write.
+  const bool NewContact = this->ReadTime < this->ContactSince + ContactTime;
+  return this->isRecent(Record, this->ReadTime) ||
+         (NewContact && Record.WrittenAt + OldestHolder > this->ReadTime);
+}
+
+bool MemberView::hasDroppedSelf() const {
+  return std::any_of(
+      this->Records.begin(), this->Records.end(), [this](const auto &Item) {
+        const MemberRecord &Record = Item.second;
+        return Record.Name != this->Self && !Record.Standby &&
+               this->isRecent(Record, this->StoreTime) &&
+               Record.ContactSince + RejoinTime <= this->StoreTime;
+      });
 }
 
 std::vector<std::string>
@@ -76,7 +105,7 @@
     for (const auto &Item : this->Records) {
       const MemberRecord &Record = Item.second;
       const bool Near = Record.Zone == Zone;
-      if (Record.Name != this->Self && !Record.Standby &&
+      if (Record.Name != this->Self && !Record.Standby && !Record.Joining &&
           this->isLive(Record) && !(Record.*Address).empty() &&
           (Nearness == 0 ? Near : !Near && Record.Region == Region))
         Result.push_back(Record.*Address);
@@ -135,7 +164,7 @@
       // it names itself when it is needed.
       if (this->isLive(Item.second) && Matches(Item.second) &&
           Result.size() < Most && !Item.second.Standby &&
-          this->isActive(Item.second))
+          !Item.second.Joining && this->isActive(Item.second))
         Result.push_back(Item.second.Address);
     return Result;
   };
@@ -164,9 +193,13 @@
   for (const auto &Item : this->Records)
     if (this->holdsShares(Item.second))
       Total += DemandOf(Item.second);
+  // What is known of demand differs between instances that have just started
+  // or found the store again.
+  const double Most =
+      this->ReadTime < this->ContactSince + ContactTime ? Even : 1;
   const double ByDemand = (DemandOf(Own->second) + AveragePart * Total * Even) /
                           (Total * (1 + AveragePart));
-  return EvenPart * Even + (1 - EvenPart) * ByDemand;
+  return std::min(Most, EvenPart * Even + (1 - EvenPart) * ByDemand);
 }
 
 bool MemberView::isChosen(std::uint64_t Item, std::size_t Count) const {
--- a/src/features/steering/MemberView.h
+++ b/src/features/steering/MemberView.h
@@ -15,6 +15,9 @@
 /// of them a caller is sent to, and which part of each sum is this one's.
 class MemberView {
 public:
+  /// The period of the records, the time until they are read, and a margin.
+  static constexpr Clock::duration LiveTime = std::chrono::milliseconds(5200);
+
   explicit MemberView(std::string Self) : Self(std::move(Self)) {}
 
   void apply(MemberRecord Record);
@@ -22,6 +25,14 @@
   void clear() { this->Records.clear(); }
   /// Advances the estimate of the store's clock.
   void setStoreTime(Clock::duration StoreTime) { this->StoreTime = StoreTime; }
+  /// The records were read. After a gap, or for the first time, none is taken
+  /// for gone for some seconds, since others may not have been able to renew
+  /// theirs.
+  void noteRead(Clock::duration StoreTime, bool AfterGap);
+  Clock::duration contactSince() const { return this->ContactSince; }
+  /// Whether others, that have read without a gap, take this instance for gone
+  /// when its record is old.
+  bool hasDroppedSelf() const;
   /// Without the store no record grows old.
   Clock::duration storeTime() const { return this->StoreTime; }
 
@@ -67,12 +78,15 @@
   bool isChosen(std::uint64_t Item, std::size_t Count) const;
 
 private:
-  bool isRecent(const MemberRecord &Record) const;
+  bool isRecent(const MemberRecord &Record, Clock::duration Now) const;
   bool isLive(const MemberRecord &Record) const;
   bool holdsShares(const MemberRecord &Record) const;
 
   std::string Self;
   Clock::duration StoreTime{0};
+  /// The store's clock at the last read.
+  Clock::duration ReadTime{0};
+  Clock::duration ContactSince{0};
   std::map<std::string, MemberRecord> Records;
 };
 
--- a/src/features/steering/tst_FleetSums.cpp
+++ b/src/features/steering/tst_FleetSums.cpp
@@ -42,7 +42,7 @@
       for (std::size_t To = 0; To < this->Views.size(); ++To)
         if (!this->Cut.count(To)) {
           this->Views[To].apply(Record);
-          this->Views[To].setStoreTime(this->StoreTime);
+          this->Views[To].noteRead(this->StoreTime, false);
         }
     }
   }
--- a/src/features/tables/FakeTables.cpp
+++ b/src/features/tables/FakeTables.cpp
@@ -26,7 +26,7 @@
   Store.Commit = [this](std::vector<TableWrite> Writes)
       -> asio::awaitable<Outcome<std::uint64_t>> {
     ++this->Calls;
-    if (this->Down)
+    if (this->Down || this->RefuseWrites)
       co_return failure(Errc::Unavailable);
     co_return this->commit(Writes);
   };
--- a/src/features/tables/FakeTables.h
+++ b/src/features/tables/FakeTables.h
@@ -25,6 +25,8 @@
 
   /// Every call fails without effect.
   bool Down = false;
+  /// Writes fail without effect, reads do not.
+  bool RefuseWrites = false;
   int Calls = 0;
   /// Longest time that the last call for changes offered to wait.
   Clock::duration LastWait{0};
