--- a/src/features/gateway/MemberRegistry.cpp
+++ b/src/features/gateway/MemberRegistry.cpp
@@ -61,8 +61,8 @@
     this->State.Tenure.noteFound(Rows.StoreTime - Own->second.WrittenAt, Now);
 }
 
-void MemberRegistry::noteOwnRow(Clock::time_point Start) {
-  if (this->State.Standby)
+void MemberRegistry::noteOwnRow(Clock::time_point Start, bool Standby) {
+  if (Standby)
     this->State.Tenure.release();
   else
     this->State.Tenure.noteWritten(Start, bootTime(),
@@ -130,7 +130,7 @@
   this->State.Versions[Move.Service].adopt(Move);
 }
 
-TableWrite MemberRegistry::ownRow(Clock::time_point Now) const {
+MemberRecord MemberRegistry::ownRecord() const {
   const GatewaySettings &Settings = this->State.Settings;
   MemberRecord Record;
   Record.Name = Settings.Name;
@@ -138,10 +138,15 @@
   Record.Address = Settings.CallerAddress;
   Record.Zone = Settings.Zone;
   Record.Region = Settings.Region;
-  Record.WrittenAt = this->State.Members.storeTime();
   Record.LookupAddress = Settings.LookupAddress;
   Record.PeerAddress = Settings.PeerAddress;
   Record.Capacity = Settings.Capacity;
+  return Record;
+}
+
+TableWrite MemberRegistry::ownRow(Clock::time_point Now) const {
+  MemberRecord Record = this->ownRecord();
+  Record.WrittenAt = this->State.Members.storeTime();
   Record.Standby = this->State.Standby;
   Record.Joining = !this->State.Tenure.holds(bootTime()) &&
                    this->State.Members.hasDroppedSelf();
@@ -155,7 +160,7 @@
     Report->OldInFlight = oldInFlight(this->State, Service, Report->Target);
     Record.Rollouts[Service] = encodeMoveReport(*Report);
   }
-  return {Table, MemberPrefix + Settings.Name, encodeMember(Record), {}};
+  return {Table, MemberPrefix + Record.Name, encodeMember(Record), {}};
 }
 
 TableWrite MemberRegistry::secretRow() const {
--- a/src/features/gateway/MemberRegistry.h
+++ b/src/features/gateway/MemberRegistry.h
@@ -27,6 +27,8 @@
   /// through an outage.
   void advanceStoreTime(Clock::time_point Now);
 
+  /// Name, place and size of this instance, as the others see them.
+  MemberRecord ownRecord() const;
   /// This instance's row.
   TableWrite ownRow(Clock::time_point Now) const;
   /// A new secret for the links between instances, if there is none yet.
@@ -35,9 +37,9 @@
   /// changed it.
   TableWrite moveRow(const VersionMove &Move) const;
 
-  /// This instance's row was written by a call that began at \p Start on
-  /// bootTime().
-  void noteOwnRow(Clock::time_point Start);
+  /// This instance's row, as a standby's or not, was written by a call that
+  /// began at \p Start on bootTime().
+  void noteOwnRow(Clock::time_point Start, bool Standby);
   /// Takes a row that this instance has just written.
   void noteWritten(const VersionMove &Move, std::uint64_t Version);
 
--- a/src/features/gateway/StandbyForwarder.cpp
+++ b/src/features/gateway/StandbyForwarder.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t MostTried = 2;
 /// For a request that names no deadline.
 constexpr Clock::duration LongestRequest = std::chrono::seconds(30);
+/// The other instance ends the request at the route's limit, and its answer
+/// is on the way then.
+constexpr Clock::duration AnswerMargin = std::chrono::milliseconds(100);
 constexpr std::size_t LargestAnswer = 64U << 20;
 /// In requests that a standby forwards.
 const std::string ForwardedName = "Redwingrack-Forwarded";
@@ -34,6 +37,18 @@
       // A request that may run once must not meet a connection that closes.
       Requests(Io, 0, ParserLimits{32U << 10, LargestAnswer}) {}
 
+Clock::duration StandbyForwarder::timeFor(const HttpMessage &Request) const {
+  const Clock::duration Left =
+      callerDeadline(Request, this->State.Settings.Headers)
+          .value_or(LongestRequest);
+  const std::string *Host = findHeader(Request.Headers, "Host");
+  const SteeringRoute *Route =
+      this->State.Config
+          ? findRoute(*this->State.Config, Host ? *Host : "", Request.Target)
+          : nullptr;
+  return Route ? std::min(Left, Route->Timeout + AnswerMargin) : Left;
+}
+
 bool StandbyForwarder::takeMark(HttpMessage &Request) {
   return std::erase_if(Request.Headers, [](const HttpHeader &Field) {
            return equalIgnoreCase(Field.Name, ForwardedName);
@@ -50,8 +65,7 @@
 StandbyForwarder::forwardRequest(HttpMessage Request, CancellationPtr Cancel) {
   const GatewaySettings &Settings = this->State.Settings;
   const Clock::time_point Start = Clock::now();
-  const Clock::duration Left =
-      callerDeadline(Request, Settings.Headers).value_or(LongestRequest);
+  const Clock::time_point Limit = Start + this->timeFor(Request);
   removeHopByHopHeaders(Request.Headers);
   Request.Headers.push_back({ForwardedName, "1"});
   const auto Near = this->State.Members.nearInService(
@@ -62,7 +76,7 @@
     Call.Address = Near[(First + I) % std::min(MostTried, Near.size())];
     Call.Request = Request;
     Call.ConnectDeadline = Clock::now() + ConnectTime;
-    Call.Deadline = Start + Left;
+    Call.Deadline = Limit;
     Call.Cancel = Cancel;
     auto Result = co_await this->Requests.call(std::move(Call));
     if (!Result.Error) {
--- a/src/features/gateway/StandbyForwarder.h
+++ b/src/features/gateway/StandbyForwarder.h
@@ -34,6 +34,9 @@
   forwardLookup(HttpMessage Request);
 
 private:
+  /// How long the request may take.
+  Clock::duration timeFor(const HttpMessage &Request) const;
+
   const SteeringState &State;
   /// Looks-up may be repeated, so their connections are kept.
   LinkPool Lookups;
--- a/src/features/gateway/SteeringInstance.cpp
+++ b/src/features/gateway/SteeringInstance.cpp
@@ -198,13 +198,13 @@
 
 asio::awaitable<HttpMessage>
 SteeringInstance::answerCaller(HttpMessage Request, CancellationPtr Cancel) {
-  const bool Forwarded = StandbyForwarder::takeMark(Request);
-  if (Forwarded && (this->State.Standby ||
-                    bootTime() - this->State.OrdersAsOf > OldestOrders))
+  const Clock::time_point Now = bootTime();
+  const bool Serves = !this->State.Standby && this->State.Tenure.holds(Now);
+  if (StandbyForwarder::takeMark(Request) &&
+      (!Serves || Now - this->State.OrdersAsOf > OldestOrders))
     co_return StandbyForwarder::declined();
   this->noteRequest(Clock::now());
-  if (this->State.MembersKnown &&
-      (this->State.Standby || !this->State.Tenure.holds(bootTime()))) {
+  if (this->State.MembersKnown && !Serves) {
     auto Answer = co_await this->Forwarder.forwardRequest(Request, Cancel);
     if (Answer)
       co_return std::move(*Answer);
@@ -327,15 +327,22 @@
 
 asio::awaitable<void> SteeringInstance::announce() {
   while (!this->Stopped) {
+    bool Failed = false;
     if (this->State.MembersKnown) {
+      this->reviewStandby(Clock::now());
       std::vector<TableWrite> Writes;
       Writes.push_back(this->Members.ownRow(Clock::now()));
       if (this->State.PeerSecret.empty() && this->Moves.isLeader())
         Writes.push_back(this->Members.secretRow());
+      const bool Standby = this->State.Standby;
       const Clock::time_point Start = bootTime();
       const auto Written = co_await this->Store.Commit(std::move(Writes));
+      Failed = !Written;
       if (Written)
-        this->Members.noteOwnRow(Start);
+        this->Members.noteOwnRow(Start, Standby);
+      else
+        logEvent(Event::OwnRowNotWritten,
+                 {{"error", Written.error().message()}});
       if (Written && this->State.Config && this->State.BackendsKnown)
         co_await this->Moves.step();
     }
@@ -344,8 +351,9 @@
     this->applyPace(Busy);
     const Clock::duration Usual =
         this->State.Standby ? StandbyPeriod : AnnouncePeriod;
-    this->AnnounceTimer.expires_after(std::min(
-        Busy && !this->State.Standby ? BusyPeriod : Usual, this->joinWait()));
+    const bool Soon = (Busy || Failed) && !this->State.Standby;
+    this->AnnounceTimer.expires_after(
+        std::min(Soon ? BusyPeriod : Usual, this->joinWait()));
     co_await this->AnnounceTimer.async_wait(
         asio::redirect_error(asio::use_awaitable, Ignored));
   }
@@ -373,7 +381,7 @@
 
 void SteeringInstance::reviewStandby(Clock::time_point Now) {
   const bool Standby = this->State.MembersKnown && Now >= this->InUseUntil &&
-                       !this->State.Members.isActive(this->State.Settings.Name);
+                       !this->State.Members.isActive(this->Members.ownRecord());
   if (Standby == this->State.Standby)
     return;
   this->State.Standby = Standby;
@@ -388,11 +396,6 @@
     const Clock::time_point Now = Clock::now();
     this->Requests.links().dropExpired();
     this->Relay.start(this->State.PeerSecret);
-    // Its row has grown old while the store was away.
-    if (this->State.MembersKnown && !this->State.Standby &&
-        this->State.Tenure.isLapsed(bootTime()) &&
-        Now - this->MemberTable.readStart() < MaintenancePeriod)
-      this->AnnounceTimer.cancel();
     // A standby judges the others as of its last read.
     if (!this->State.Standby)
       this->Members.advanceStoreTime(Now);
