--- a/src/features/gateway/MemberRegistry.cpp
+++ b/src/features/gateway/MemberRegistry.cpp
@@ -144,7 +144,10 @@
   return Record;
 }
 
-TableWrite MemberRegistry::ownRow(Clock::time_point Now) const {
+TableWrite MemberRegistry::ownRow(Clock::time_point Now) {
+  // Nobody may have been able to write.
+  if (!this->State.Standby && this->State.Tenure.isLapsed(bootTime()))
+    this->State.Members.restartContact();
   MemberRecord Record = this->ownRecord();
   Record.WrittenAt = this->State.Members.storeTime();
   Record.Standby = this->State.Standby;
--- a/src/features/gateway/MemberRegistry.h
+++ b/src/features/gateway/MemberRegistry.h
@@ -29,8 +29,9 @@
 
   /// Name, place and size of this instance, as the others see them.
   MemberRecord ownRecord() const;
-  /// This instance's row.
-  TableWrite ownRow(Clock::time_point Now) const;
+  /// This instance's row. When the last one has grown old, the others are
+  /// given time to renew theirs.
+  TableWrite ownRow(Clock::time_point Now);
   /// A new secret for the links between instances, if there is none yet.
   TableWrite secretRow() const;
   /// The row with the state of a move, under the condition that nobody has
--- a/src/features/gateway/SteeringInstance.cpp
+++ b/src/features/gateway/SteeringInstance.cpp
@@ -42,7 +42,7 @@
 constexpr Clock::duration StandbyPeriod = std::chrono::seconds(16);
 /// A standby is ready for this long after a read.
 constexpr Clock::duration StandbyReadyTime = std::chrono::seconds(20);
-/// A standby that gets this many requests in this time goes into service.
+/// An instance that gets this many requests in this time is in service.
 constexpr std::size_t WakeRequests = 12;
 constexpr Clock::duration WakeWindow = std::chrono::seconds(3);
 /// After its last request an instance stays in service for this long.
@@ -220,14 +220,15 @@
 }
 
 void SteeringInstance::noteRequest(Clock::time_point Now) {
-  if (this->State.Standby) {
-    this->StandbyRequests.push_back(Now);
-    while (this->StandbyRequests.front() + WakeWindow < Now)
-      this->StandbyRequests.pop_front();
-    if (this->StandbyRequests.size() < WakeRequests)
-      return;
-    this->StandbyRequests.clear();
-  }
+  if (this->Needed)
+    return;
+  // Single requests are checks of this instance.
+  this->RecentRequests.push_back(Now);
+  while (this->RecentRequests.front() + WakeWindow < Now)
+    this->RecentRequests.pop_front();
+  if (this->RecentRequests.size() < WakeRequests)
+    return;
+  this->RecentRequests.clear();
   this->InUseUntil = Now + WakeTime;
   this->reviewStandby(Now);
 }
@@ -380,8 +381,10 @@
 }
 
 void SteeringInstance::reviewStandby(Clock::time_point Now) {
-  const bool Standby = this->State.MembersKnown && Now >= this->InUseUntil &&
-                       !this->State.Members.isActive(this->Members.ownRecord());
+  this->Needed = this->State.MembersKnown &&
+                 this->State.Members.isActive(this->Members.ownRecord());
+  const bool Standby =
+      this->State.MembersKnown && Now >= this->InUseUntil && !this->Needed;
   if (Standby == this->State.Standby)
     return;
   this->State.Standby = Standby;
--- a/src/features/gateway/SteeringInstance.h
+++ b/src/features/gateway/SteeringInstance.h
@@ -93,10 +93,12 @@
   /// Wakes announce() early.
   Timer AnnounceTimer;
   Clock::time_point StartedAt{};
+  /// Callers are sent here whether or not they came lately.
+  bool Needed = false;
   /// Callers were served lately; the instance does not stand by before.
   Clock::time_point InUseUntil{};
-  /// The last requests that came to a standby.
-  std::deque<Clock::time_point> StandbyRequests;
+  /// The last requests that came to an instance that could stand by.
+  std::deque<Clock::time_point> RecentRequests;
   int Refreshes = 0;
   bool Stopped = false;
   bool WasReady = false;
--- a/src/features/steering/MemberView.h
+++ b/src/features/steering/MemberView.h
@@ -29,6 +29,8 @@
   /// for gone for some seconds, since others may not have been able to renew
   /// theirs.
   void noteRead(Clock::duration StoreTime, bool AfterGap);
+  /// Begins the time after a gap anew.
+  void restartContact() { this->ContactSince = this->StoreTime; }
   Clock::duration contactSince() const { return this->ContactSince; }
   /// Whether others, that have read without a gap, take this instance for gone
   /// when its record is old.
--- a/src/features/steering/tst_FleetFaults.cpp
+++ b/src/features/steering/tst_FleetFaults.cpp
@@ -25,7 +25,8 @@
 
 /// Instances that meet through the rows of a store, at the pace of the real
 /// ones, while faults come at random: instances are cut from the store, stop
-/// and start, are replaced by others, or stand still; the store goes away.
+/// and start, are replaced by others, or stand still; the store goes away or
+/// takes no writes.
 class FaultyFleet {
 public:
   FaultyFleet(unsigned Seed, std::size_t Size) : Random(Seed) {
@@ -84,7 +85,7 @@
       return std::chrono::milliseconds(
           std::uniform_int_distribution<>(Least, Most)(this->Random));
     };
-    switch (std::uniform_int_distribution<>(0, 5)(this->Random)) {
+    switch (std::uniform_int_distribution<>(0, 6)(this->Random)) {
     case 0:
       for (std::size_t Count = 0; Count < this->Nodes.size() / 3; ++Count)
         this->Nodes[Pick()].CutUntil = Now + Time(2000, 9000);
@@ -106,6 +107,9 @@
     case 4:
       this->StoreDownUntil = Now + Time(1000, 6000);
       break;
+    case 5:
+      this->ReadOnlyUntil = Now + Time(1000, 8000);
+      break;
     default:
       for (std::size_t Index = 0; Index < this->Nodes.size(); ++Index)
         this->restart(Index, Time(100, 2500));
@@ -152,7 +156,8 @@
         Item.ProvenAt = Now;
       if (Now >= Item.NextRead)
         this->read(Item);
-      if (Item.Known && (Now >= Item.NextWrite || Item.Tenure.isLapsed(Now)))
+      if (Item.Known && Now >= this->ReadOnlyUntil &&
+          (Now >= Item.NextWrite || Item.Tenure.isLapsed(Now)))
         this->write(Item);
     }
     if (Item.Known && Now - Item.ReadAt < 3500ms)
@@ -178,6 +183,8 @@
   }
 
   void write(Node &Item) {
+    if (Item.Tenure.isLapsed(Clock::now()))
+      Item.View->restartContact();
     MemberRecord Record =
         testMember(Item.Name, "r-a", Item.View->storeTime());
     Record.ContactSince = Item.View->contactSince();
@@ -190,6 +197,7 @@
 
   std::map<std::string, MemberRecord> Rows;
   Clock::time_point StoreDownUntil{};
+  Clock::time_point ReadOnlyUntil{};
 };
 
 /// The most that was counted in any window of a length.
