--- a/src/features/gateway/Gateway.cpp
+++ b/src/features/gateway/Gateway.cpp
@@ -1,13 +1,13 @@
 #include "gateway/Gateway.h"
 
 #include "base/Errc.h"
-#include "tables/BootTime.h"
 #include "gateway/GatewayReplies.h"
 #include "gateway/RequestAdmission.h"
 #include "gateway/SteeringMetrics.h"
 #include "http1/MessageText.h"
 #include "steering/ObservedLoad.h"
 #include "steering/RetryReserve.h"
+#include "tables/BootTime.h"
 
 #include <algorithm>
 
@@ -151,15 +151,14 @@
 
 void Gateway::logRefusal(const std::string &Id, const HttpMessage &Refusal) {
   const auto &Config = this->State.Config;
-  this->write(
-      Event::RequestNotAdmitted,
-      "not_admitted_" + std::to_string(Refusal.Status),
-      {{"request", Id},
-       {"status", std::to_string(Refusal.Status)},
-       {"reason", Refusal.Body.substr(0, Refusal.Body.size() - 1)},
-       {"config", Config ? std::to_string(Config->Version) : "none"},
-       {"keys_valid_ms",
-        milliseconds(this->State.KeysValidUntil - bootTime())}});
+  this->write(Event::RequestNotAdmitted,
+              "not_admitted_" + std::to_string(Refusal.Status),
+              {{"request", Id},
+               {"status", std::to_string(Refusal.Status)},
+               {"reason", Refusal.Body.substr(0, Refusal.Body.size() - 1)},
+               {"config", Config ? std::to_string(Config->Version) : "none"},
+               {"keys_valid_ms",
+                milliseconds(this->State.KeysValidUntil - bootTime())}});
 }
 
 Placement Gateway::place(const GatewayRequest &Request, const Progress &Sofar) {
@@ -335,8 +334,7 @@
                          Done.Result == AttemptResult::WrongServer;
   if (!DidNotRun && !Repeatable)
     return false;
-  if (Sofar.Sent >= Request.Route->MaxAttempts ||
-      Clock::now() >= Request.Limit)
+  if (Sofar.Sent >= Request.Route->MaxAttempts || Clock::now() >= Request.Limit)
     return false;
   const bool Taken = this->budgetOf(Sofar.Service).tryTake();
   this->Counters.add(Metric::SteeringRetries,
@@ -390,13 +388,13 @@
       Sofar.ServerFailure = std::move(Done.Exchange.Answer);
     }
     this->write(Event::AttemptFailed,
-                    std::string("attempt_") + attemptResultName(Done.Result),
-                    {{"request", Request.Id},
-                     {"route", Request.Route->Name},
-                     {"server", Done.Where.Server->Record.Id},
-                     {"result", attemptResultName(Done.Result)},
-                     {"error", Done.Exchange.Error.message()},
-                     {"ms", milliseconds(Done.Time)}});
+                std::string("attempt_") + attemptResultName(Done.Result),
+                {{"request", Request.Id},
+                 {"route", Request.Route->Name},
+                 {"server", Done.Where.Server->Record.Id},
+                 {"result", attemptResultName(Done.Result)},
+                 {"error", Done.Exchange.Error.message()},
+                 {"ms", milliseconds(Done.Time)}});
     if (!this->mayRetry(Request, Sofar, Done))
       co_return this->conclude(Request, Sofar, Placement::Result::Full);
   }
@@ -434,15 +432,15 @@
   }
   this->countEnd(Request, Outcome);
   this->write(Event::RequestConcluded,
-                  "concluded_" + std::to_string(Reply.Status),
-                  {{"request", Request.Id},
-                   {"route", Request.Route->Name},
-                   {"service", Sofar.Service},
-                   {"status", std::to_string(Reply.Status)},
-                   {"attempts", std::to_string(Sofar.Sent)},
-                   {"config", std::to_string(Request.Config->Version)},
-                   {"ms", milliseconds(Clock::now() - Request.Arrived)},
-                   {"left_ms", milliseconds(Request.Limit - Clock::now())}});
+              "concluded_" + std::to_string(Reply.Status),
+              {{"request", Request.Id},
+               {"route", Request.Route->Name},
+               {"service", Sofar.Service},
+               {"status", std::to_string(Reply.Status)},
+               {"attempts", std::to_string(Sofar.Sent)},
+               {"config", std::to_string(Request.Config->Version)},
+               {"ms", milliseconds(Clock::now() - Request.Arrived)},
+               {"left_ms", milliseconds(Request.Limit - Clock::now())}});
   return Reply;
 }
 
--- a/src/features/gateway/InstanceTestBed.h
+++ b/src/features/gateway/InstanceTestBed.h
@@ -1,10 +1,10 @@
 #ifndef REDWINGRACK_GATEWAY_INSTANCETESTBED_H
 #define REDWINGRACK_GATEWAY_INSTANCETESTBED_H
 
-#include "tables/FakeTables.h"
 #include "gateway/SteeringInstance.h"
 #include "http1/HttpServer.h"
 #include "http1/LoopbackPeer.h"
+#include "tables/FakeTables.h"
 
 #include <deque>
 #include <functional>
--- a/src/features/gateway/MemberRegistry.cpp
+++ b/src/features/gateway/MemberRegistry.cpp
@@ -50,8 +50,8 @@
   const bool First = this->ReadAt == Clock::time_point{};
   this->ReadStoreTime = Rows.StoreTime;
   this->ReadAt = Clock::now();
-  this->State.Members.noteRead(
-      Rows.StoreTime, First || Now - this->ReadAtBoot > LongestContactGap);
+  this->State.Members.noteRead(Rows.StoreTime, First || Now - this->ReadAtBoot >
+                                                            LongestContactGap);
   this->ReadAtBoot = Now;
   for (const TableRow &Row : Rows.Rows)
     this->apply(Row);
--- a/src/features/gateway/PlatformCodec.h
+++ b/src/features/gateway/PlatformCodec.h
@@ -5,11 +5,11 @@
 #include "base/Outcome.h"
 #include "gateway/LookupQuery.h"
 #include "gateway/OperatorOrder.h"
-#include "tables/TableRow.h"
-#include "tables/TableWrite.h"
 #include "http1/HttpMessage.h"
 #include "steering/BackendRecord.h"
 #include "steering/VersionMove.h"
+#include "tables/TableRow.h"
+#include "tables/TableWrite.h"
 
 #include <functional>
 #include <string>
--- a/src/features/gateway/RequestAdmission.cpp
+++ b/src/features/gateway/RequestAdmission.cpp
@@ -1,9 +1,9 @@
 #include "gateway/RequestAdmission.h"
 
-#include "tables/BootTime.h"
 #include "gateway/GatewayReplies.h"
 #include "http1/MessageText.h"
 #include "steering/StableHash.h"
+#include "tables/BootTime.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/features/gateway/SteeringInstance.cpp
+++ b/src/features/gateway/SteeringInstance.cpp
@@ -1,12 +1,12 @@
 #include "gateway/SteeringInstance.h"
 
 #include "base/Random.h"
-#include "tables/BootTime.h"
 #include "gateway/GatewayReplies.h"
 #include "gateway/SteeringMetrics.h"
 #include "http1/MessageText.h"
 #include "logging/EventLog.h"
 #include "steering/RegionMix.h"
+#include "tables/BootTime.h"
 
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
@@ -95,15 +95,15 @@
       Orders(this->State, this->Codec), Backends(this->State, this->Codec),
       Members(this->State, randomToken().substr(0, 8)),
       Moves(this->State, this->Members, this->Store, this->Codec),
-      Relay(
-          Io, this->Store, {Settings.Name, Settings.Zone, Settings.PeerAddress},
-          [this](const std::string &Table) -> std::optional<RelayPeer> {
-            const MemberRecord *Reader = this->State.Members.readerFor(
-                this->State.Settings.Region, Table);
-            if (!Reader)
-              return std::nullopt;
-            return RelayPeer{Reader->Name, Reader->PeerAddress};
-          }),
+      Relay(Io, this->Store,
+            {Settings.Name, Settings.Zone, Settings.PeerAddress},
+            [this](const std::string &Table) -> std::optional<RelayPeer> {
+              const MemberRecord *Reader = this->State.Members.readerFor(
+                  this->State.Settings.Region, Table);
+              if (!Reader)
+                return std::nullopt;
+              return RelayPeer{Reader->Name, Reader->PeerAddress};
+            }),
       RelayedStore(this->Relay.tables()),
       OrderTable(
           Io, this->Store,
@@ -162,8 +162,7 @@
   // An instance serves without its metrics.
   if (!Settings.MetricsAddress.empty() &&
       !this->MetricReads.listen(Settings.MetricsAddress))
-    logEvent(Event::MetricsUnavailable,
-             {{"address", Settings.MetricsAddress}});
+    logEvent(Event::MetricsUnavailable, {{"address", Settings.MetricsAddress}});
   this->StartedAt = Clock::now();
   asio::co_spawn(this->Context, this->OrderTable.run(), asio::detached);
   asio::co_spawn(this->Context, this->BackendTable.run(), asio::detached);
--- a/src/features/gateway/SteeringInstance.h
+++ b/src/features/gateway/SteeringInstance.h
@@ -11,11 +11,11 @@
 #include "gateway/PlatformCodec.h"
 #include "gateway/StandbyForwarder.h"
 #include "gateway/SteeringState.h"
-#include "tables/TableStore.h"
+#include "http1/HttpServer.h"
 #include "tables/TableRelay.h"
+#include "tables/TableStore.h"
 #include "tables/TableWatch.h"
 #include "telemetry/Metrics.h"
-#include "http1/HttpServer.h"
 
 #include <asio/awaitable.hpp>
 #include <asio/io_context.hpp>
--- a/src/features/gateway/SteeringMetrics.cpp
+++ b/src/features/gateway/SteeringMetrics.cpp
@@ -105,17 +105,17 @@
 
 TableStore countCalls(TableStore Store, Metrics &Counters) {
   TableStore Result;
-  Result.ReadTable = [Read = Store.ReadTable, &Counters](
-                         std::string Table)
-      -> asio::awaitable<Outcome<TableRows>> {
+  Result.ReadTable =
+      [Read = Store.ReadTable,
+       &Counters](std::string Table) -> asio::awaitable<Outcome<TableRows>> {
     auto Rows = co_await Read(std::move(Table));
     countResult(Counters, "read_table", Rows);
     co_return Rows;
   };
-  Result.ReadChanges = [Read = Store.ReadChanges, &Counters](
-                           std::string Table, std::uint64_t After,
-                           Clock::duration Wait)
-      -> asio::awaitable<Outcome<TableRows>> {
+  Result.ReadChanges =
+      [Read = Store.ReadChanges,
+       &Counters](std::string Table, std::uint64_t After,
+                  Clock::duration Wait) -> asio::awaitable<Outcome<TableRows>> {
     auto Rows = co_await Read(std::move(Table), After, Wait);
     countResult(Counters, "read_changes", Rows);
     co_return Rows;
--- a/src/features/gateway/tst_SteeringInstance.cpp
+++ b/src/features/gateway/tst_SteeringInstance.cpp
@@ -365,8 +365,8 @@
   StandbyBed B;
   std::vector<HttpMessage> Received;
   HttpServer Large(B.Context,
-                   [&](HttpMessage Request,
-                       const CancellationPtr &) -> asio::awaitable<HttpMessage> {
+                   [&](HttpMessage Request, const CancellationPtr &)
+                       -> asio::awaitable<HttpMessage> {
                      Received.push_back(Request);
                      HttpMessage Reply = Bed::goodAnswer(Request);
                      Reply.Body = "passed on";
@@ -395,8 +395,8 @@
   StandbyBed B;
   int Asked = 0;
   HttpServer Large(B.Context,
-                   [&](HttpMessage Request,
-                       const CancellationPtr &) -> asio::awaitable<HttpMessage> {
+                   [&](HttpMessage Request, const CancellationPtr &)
+                       -> asio::awaitable<HttpMessage> {
                      ++Asked;
                      CHECK(StandbyForwarder::takeMark(Request));
                      co_return StandbyForwarder::declined();
--- a/src/features/steering/MemberView.cpp
+++ b/src/features/steering/MemberView.cpp
@@ -55,16 +55,20 @@
   return !Record.Leaving && this->isRecent(Record, this->StoreTime);
 }
 
+bool MemberView::mayServe(const MemberRecord &Record) const {
+  return this->isLive(Record) || (!Record.Leaving && this->mayReturn(Record));
+}
+
 bool MemberView::isActive(const MemberRecord &Record) const {
   double Largest = 0;
   for (const auto &Item : this->Records)
-    if (Item.second.Zone == Record.Zone && this->isLive(Item.second))
+    if (Item.second.Zone == Record.Zone && this->mayServe(Item.second))
       Largest = std::max(Largest, Item.second.Capacity);
   if (Record.Capacity >= LargePart * Largest)
     return true;
   int Large = 0;
   for (const auto &Item : this->Records)
-    if (Item.second.Zone == Record.Zone && this->isLive(Item.second) &&
+    if (Item.second.Zone == Record.Zone && this->mayServe(Item.second) &&
         Item.second.Capacity >= LargePart * Largest)
       ++Large;
   return Large < FewLarge;
@@ -75,6 +79,15 @@
   return Found == this->Records.end() || this->isActive(Found->second);
 }
 
+bool MemberView::isNewContact() const {
+  return this->ReadTime < this->ContactSince + ContactTime;
+}
+
+bool MemberView::mayReturn(const MemberRecord &Record) const {
+  return this->isNewContact() &&
+         Record.WrittenAt + OldestHolder > this->ReadTime;
+}
+
 bool MemberView::holdsShares(const MemberRecord &Record) const {
   if (Record.Name == this->Self)
     return true;
@@ -82,9 +95,7 @@
     return false;
   // Between reads nobody is forgotten: the store may be away, and then nobody
   // can write.
-  const bool NewContact = this->ReadTime < this->ContactSince + ContactTime;
-  return this->isRecent(Record, this->ReadTime) ||
-         (NewContact && Record.WrittenAt + OldestHolder > this->ReadTime);
+  return this->isRecent(Record, this->ReadTime) || this->mayReturn(Record);
 }
 
 bool MemberView::hasDroppedSelf() const {
@@ -195,8 +206,7 @@
       Total += DemandOf(Item.second);
   // What is known of demand differs between instances that have just started
   // or found the store again.
-  const double Most =
-      this->ReadTime < this->ContactSince + ContactTime ? Even : 1;
+  const double Most = this->isNewContact() ? Even : 1;
   const double ByDemand = (DemandOf(Own->second) + AveragePart * Total * Even) /
                           (Total * (1 + AveragePart));
   return std::min(Most, EvenPart * Even + (1 - EvenPart) * ByDemand);
--- a/src/features/steering/MemberView.h
+++ b/src/features/steering/MemberView.h
@@ -82,6 +82,11 @@
 private:
   bool isRecent(const MemberRecord &Record, Clock::duration Now) const;
   bool isLive(const MemberRecord &Record) const;
+  /// The records were read after a gap a moment ago.
+  bool isNewContact() const;
+  /// The record is old, but the instance may not have been able to renew it.
+  bool mayReturn(const MemberRecord &Record) const;
+  bool mayServe(const MemberRecord &Record) const;
   bool holdsShares(const MemberRecord &Record) const;
 
   std::string Self;
--- a/src/features/steering/RetryReserve.cpp
+++ b/src/features/steering/RetryReserve.cpp
@@ -18,10 +18,9 @@
 void applyRetryReserve(RetryBudget &Budget, const RetryAllowance &Allowance,
                        const MemberView &Members) {
   const double Holders = double(Members.holders());
-  Budget.setLimits(
-      static_cast<std::uint32_t>(100 * UsedPart * Allowance.Ratio),
-      static_cast<std::uint32_t>(
-          std::max(1.0, UsedPart * Allowance.Extra / Holders)));
+  Budget.setLimits(static_cast<std::uint32_t>(100 * UsedPart * Allowance.Ratio),
+                   static_cast<std::uint32_t>(
+                       std::max(1.0, UsedPart * Allowance.Extra / Holders)));
 }
 
 } // namespace rr
--- a/src/features/steering/tst_FleetFaults.cpp
+++ b/src/features/steering/tst_FleetFaults.cpp
@@ -71,15 +71,16 @@
   bool serves(const Node &Item) const {
     const Clock::time_point Now = Clock::now();
     return Item.Known && Now >= Item.DownUntil && Now >= Item.PausedUntil &&
-           Item.Tenure.holds(Now) && Now < Item.ProvenAt + RevocationTime - RevocationMargin;
+           Item.Tenure.holds(Now) &&
+           Now < Item.ProvenAt + RevocationTime - RevocationMargin;
   }
 
   /// One random fault; some of them are several at once.
   void breakSomething() {
     const Clock::time_point Now = Clock::now();
     const auto Pick = [&] {
-      return std::uniform_int_distribution<std::size_t>(
-          0, this->Nodes.size() - 1)(this->Random);
+      return std::uniform_int_distribution<std::size_t>(0, this->Nodes.size() -
+                                                               1)(this->Random);
     };
     const auto Time = [&](int Least, int Most) {
       return std::chrono::milliseconds(
@@ -185,8 +186,7 @@
   void write(Node &Item) {
     if (Item.Tenure.isLapsed(Clock::now()))
       Item.View->restartContact();
-    MemberRecord Record =
-        testMember(Item.Name, "r-a", Item.View->storeTime());
+    MemberRecord Record = testMember(Item.Name, "r-a", Item.View->storeTime());
     Record.ContactSince = Item.View->contactSince();
     Record.Demand = Item.Quotas.demand(Clock::now());
     this->Rows[Item.Name] = Record;
--- a/src/features/steering/tst_ShareTenure.cpp
+++ b/src/features/steering/tst_ShareTenure.cpp
@@ -74,3 +74,23 @@
   View.noteRead(118s, false);
   CHECK(View.holders() == 1);
 }
+
+// Guards against small instances that all go into service, and divide the
+// rates among themselves, when everything starts again at once.
+TEST_CASE("When all start again, small instances expect the large ones back",
+          "[members]") {
+  MemberView View("small");
+  MemberRecord Small = testMember("small", "s-a", 100s);
+  Small.Capacity = 0.1;
+  for (const char *Name : {"large1", "large2"}) {
+    MemberRecord Large = testMember(Name, "s-a", 85s);
+    Large.Capacity = 0.5;
+    View.apply(Large);
+  }
+  View.noteRead(100s, true);
+  CHECK_FALSE(View.isActive(Small));
+  CHECK(View.addressesFor("s-a", "s", {}, 64).empty());
+  // They do not come back.
+  View.noteRead(107s, false);
+  CHECK(View.isActive(Small));
+}
--- a/src/features/tables/RelayMessages.cpp
+++ b/src/features/tables/RelayMessages.cpp
@@ -38,10 +38,10 @@
 std::string encodeRelayRows(const TableRows &Rows) {
   json Items = json::array();
   for (const TableRow &Row : Rows.Rows)
-    Items.push_back(json::array({bytesOf(Row.Key), bytesOf(Row.Value),
-                                 Row.Version, Row.Deleted}));
-  return encodeBody(json::array(
-      {Rows.Version, Rows.StoreTime.count(), std::move(Items)}));
+    Items.push_back(json::array(
+        {bytesOf(Row.Key), bytesOf(Row.Value), Row.Version, Row.Deleted}));
+  return encodeBody(
+      json::array({Rows.Version, Rows.StoreTime.count(), std::move(Items)}));
 }
 
 Outcome<TableRows> decodeRelayRows(const std::string &Body) {
--- a/src/features/tables/TableRelay.cpp
+++ b/src/features/tables/TableRelay.cpp
@@ -44,9 +44,8 @@
     this->answerCall(std::move(Call));
   });
   if (const auto Listening = Started->start(); !Listening) {
-    logEvent(Event::RelayUnavailable,
-             {{"address", this->Chosen.ListenAddress},
-              {"error", Listening.error().message()}});
+    logEvent(Event::RelayUnavailable, {{"address", this->Chosen.ListenAddress},
+                                       {"error", Listening.error().message()}});
     // Tried once: the address stays the same for the life of the process.
     this->Chosen.ListenAddress.clear();
     return;
@@ -129,10 +128,9 @@
     Entry.Copy.applyChanges(*Read);
   } else {
     Entry.DirectUntil = Clock::now() + DirectTime;
-    logEvent(Event::RelayFailed,
-             {{"table", Query.Table},
-              {"instance", Peer},
-              {"error", Read.error().message()}});
+    logEvent(Event::RelayFailed, {{"table", Query.Table},
+                                  {"instance", Peer},
+                                  {"error", Read.error().message()}});
   }
   co_return Read;
 }
@@ -147,8 +145,8 @@
   if (!Before.empty() && !Needed)
     this->Node->disconnect(Before);
   if (const auto Wanted = this->Node->connect(Peer.Name, Peer.Address); !Wanted)
-    logEvent(Event::RelayUnavailable, {{"address", Peer.Address},
-                                       {"error", Wanted.error().message()}});
+    logEvent(Event::RelayUnavailable,
+             {{"address", Peer.Address}, {"error", Wanted.error().message()}});
 }
 
 void TableRelay::answerCall(IncomingCall Call) {
--- a/src/features/tables/TableWatch.cpp
+++ b/src/features/tables/TableWatch.cpp
@@ -1,8 +1,8 @@
 #include "tables/TableWatch.h"
 
 #include "base/Timer.h"
-#include "tables/BootTime.h"
 #include "logging/EventLog.h"
+#include "tables/BootTime.h"
 
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
--- a/src/features/tables/tst_TableRelay.cpp
+++ b/src/features/tables/tst_TableRelay.cpp
@@ -47,9 +47,8 @@
 /// A first instance that reads the store, and a second that follows it.
 struct RelayBed {
   RelayBed() {
-    this->Second.Peer =
-        RelayPeer{"first", "127.0.0.1:" +
-                               std::to_string(this->First.Relay.port())};
+    this->Second.Peer = RelayPeer{
+        "first", "127.0.0.1:" + std::to_string(this->First.Relay.port())};
     this->advance(3s);
   }
   ~RelayBed() {
@@ -162,8 +161,8 @@
           "[relay]") {
   RelayBed Bed;
   Reader Third(Bed.Loop, "third", Bed.Tables.tables());
-  Third.Peer = RelayPeer{
-      "second", "127.0.0.1:" + std::to_string(Bed.Second.Relay.port())};
+  Third.Peer = RelayPeer{"second", "127.0.0.1:" +
+                                       std::to_string(Bed.Second.Relay.port())};
   Bed.advance(1s);
   Bed.Tables.put("t", "a", "1");
   Bed.advance(1500ms);
