--- /dev/null
+++ b/src/features/tables/ChangeLog.cpp
@@ -0,0 +1,56 @@
+#include "tables/ChangeLog.h"
+
+#include <algorithm>
+
+namespace rr {
+
+void ChangeLog::clear() { *this = ChangeLog(); }
+
+void ChangeLog::append(std::uint64_t After, const TableRows &Read,
+                       Clock::time_point Now) {
+  // Changes between the last read and this one would be missing.
+  if (!this->Started || After > this->Version) {
+    this->clear();
+    this->Started = true;
+    this->Begin = this->Version = After;
+  }
+  for (const TableRow &Row : Read.Rows) {
+    auto &[Known, ReadAt] = this->Rows[Row.Key];
+    // Reads that overlap may come in either order.
+    if (Known.Version > Row.Version)
+      continue;
+    Known = Row;
+    ReadAt = Now;
+  }
+  this->Version = std::max(this->Version, Read.Version);
+  this->StoreTime = std::max(this->StoreTime, Read.StoreTime);
+  this->expire(Now);
+}
+
+void ChangeLog::expire(Clock::time_point Now) {
+  for (auto Item = this->Rows.begin(); Item != this->Rows.end();) {
+    const auto &[Row, ReadAt] = Item->second;
+    if (ReadAt + KeptTime > Now) {
+      ++Item;
+      continue;
+    }
+    this->Begin = std::max(this->Begin, Row.Version);
+    Item = this->Rows.erase(Item);
+  }
+}
+
+Outcome<TableRows> ChangeLog::changesAfter(std::uint64_t After) const {
+  if (!this->Started)
+    return failure(Errc::Unavailable);
+  if (After < this->Begin)
+    return failure(Errc::Stale);
+  TableRows Result;
+  Result.Version = this->Version;
+  Result.StoreTime = this->StoreTime;
+  for (const auto &Item : this->Rows)
+    if (Item.second.first.Version > After)
+      Result.Rows.push_back(Item.second.first);
+  return Result;
+}
+
+} // namespace rr
--- a/src/features/tables/TableRelay.cpp
+++ b/src/features/tables/TableRelay.cpp
@@ -65,9 +65,6 @@
 
 TableStore TableRelay::tables() {
   TableStore Result = this->Store;
-  Result.ReadTable = [this](std::string Name) {
-    return this->readTable(std::move(Name));
-  };
   Result.ReadChanges = [this](std::string Name, std::uint64_t After,
                               Clock::duration Wait) {
     return this->readChanges(std::move(Name), After, Wait);
@@ -75,15 +72,6 @@
   return Result;
 }
 
-asio::awaitable<Outcome<TableRows>> TableRelay::readTable(std::string Name) {
-  auto Read = co_await this->Store.ReadTable(Name);
-  Table &Entry = this->Tables[Name];
-  if (Read)
-    Entry.Copy.applyFull(*Read);
-  this->answerWaiters(Entry, Read.has_value());
-  co_return Read;
-}
-
 asio::awaitable<Outcome<TableRows>>
 TableRelay::readChanges(std::string Name, std::uint64_t After,
                         Clock::duration Wait) {
@@ -106,7 +94,7 @@
   }
   auto Read = co_await this->Store.ReadChanges(Name, After, Wait);
   if (Read)
-    Entry.Copy.applyChanges(*Read);
+    Entry.Log.append(After, *Read, Clock::now());
   this->answerWaiters(Entry, Read.has_value());
   co_return Read;
 }
@@ -125,7 +113,7 @@
   if (Read) {
     ++this->Relayed;
     Read->Relayed = true;
-    Entry.Copy.applyChanges(*Read);
+    Entry.Log.clear();
   } else {
     Entry.DirectUntil = Clock::now() + DirectTime;
     logEvent(Event::RelayFailed, {{"table", Query.Table},
@@ -169,7 +157,7 @@
   for (const Waiter &Item : Waiters) {
     Outcome<TableRows> Rows = failure(Errc::Unavailable);
     if (Current)
-      Rows = Entry.Copy.changesAfter(Item.Query.After);
+      Rows = Entry.Log.changesAfter(Item.Query.After);
     if (Rows)
       Item.Call.Answer(Message{ChangesMethod, encodeRelayRows(*Rows)});
     else
--- a/src/features/tables/TableRelay.h
+++ b/src/features/tables/TableRelay.h
@@ -3,9 +3,9 @@
 
 #include "base/Clock.h"
 #include "peerlink/IncomingCall.h"
+#include "tables/ChangeLog.h"
 #include "tables/RelayMessages.h"
 #include "tables/RelayPeer.h"
-#include "tables/TableCopy.h"
 #include "tables/TableStore.h"
 
 #include <asio/awaitable.hpp>
@@ -64,14 +64,14 @@
     IncomingCall Call;
   };
   struct Table {
-    TableCopy Copy;
+    /// Empty while another instance reads.
+    ChangeLog Log;
     std::vector<Waiter> Waiters;
     /// The store is read directly until then.
     Clock::time_point DirectUntil{};
     RelayPeer Peer;
   };
 
-  asio::awaitable<Outcome<TableRows>> readTable(std::string Name);
   asio::awaitable<Outcome<TableRows>>
   readChanges(std::string Name, std::uint64_t After, Clock::duration Wait);
   asio::awaitable<Outcome<TableRows>>
--- /dev/null
+++ b/src/features/tables/tst_ChangeLog.cpp
@@ -0,0 +1,63 @@
+#include "tables/ChangeLog.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rr;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Clock::time_point T0{100s};
+
+TableRows rows(std::uint64_t Version, std::vector<TableRow> Items) {
+  TableRows Result;
+  Result.Version = Version;
+  Result.Rows = std::move(Items);
+  return Result;
+}
+
+} // namespace
+
+// Guards against a reader that is told half of what changed.
+TEST_CASE("A log tells nothing of what came before it began", "[log]") {
+  ChangeLog Log;
+  CHECK(Log.changesAfter(4).error() == make_error_code(Errc::Unavailable));
+  Log.append(4, rows(6, {{"a", "1", 5, false}}), T0);
+  CHECK(Log.changesAfter(3).error() == make_error_code(Errc::Stale));
+  CHECK(Log.changesAfter(4)->Rows.size() == 1);
+  CHECK(Log.changesAfter(6)->Rows.empty());
+  // A reader that was ahead.
+  CHECK(Log.changesAfter(9)->Rows.empty());
+}
+
+TEST_CASE("A log that missed changes begins anew", "[log]") {
+  ChangeLog Log;
+  Log.append(4, rows(6, {{"a", "1", 5, false}}), T0);
+  Log.append(9, rows(10, {{"b", "1", 10, false}}), T0);
+  CHECK(Log.changesAfter(6).error() == make_error_code(Errc::Stale));
+  CHECK(Log.changesAfter(9)->Rows.size() == 1);
+}
+
+// Guards against removed rows that live on at other instances, and against an
+// older row that replaces a newer one when two reads overlap.
+TEST_CASE("The newest state of a row is told", "[log]") {
+  ChangeLog Log;
+  Log.append(1, rows(7, {{"a", "", 7, true}, {"b", "new", 6, false}}), T0);
+  Log.append(1, rows(5, {{"a", "1", 4, false}, {"b", "old", 5, false}}), T0);
+  const auto Changes = Log.changesAfter(1);
+  CHECK(Changes->Version == 7);
+  REQUIRE(Changes->Rows.size() == 2);
+  CHECK(Changes->Rows[0].Deleted);
+  CHECK(Changes->Rows[1].Value == "new");
+}
+
+// Guards against memory that grows with every server that was ever replaced,
+// and against a reader that misses a change that was forgotten.
+TEST_CASE("Old changes are forgotten, and those who need them are told",
+          "[log]") {
+  ChangeLog Log;
+  Log.append(1, rows(2, {{"a", "1", 2, false}}), T0);
+  Log.append(2, rows(3, {{"b", "1", 3, false}}), T0 + ChangeLog::KeptTime);
+  CHECK(Log.changesAfter(1).error() == make_error_code(Errc::Stale));
+  CHECK(Log.changesAfter(2)->Rows.size() == 1);
+}
