Pass requests on while an instance may have missed orders, and try seldom at a store that is away when reading seldom

Found by reading: a standby that goes into service answered by its last orders, up to 16 s old, until its first poll ended. Standbys also called the store that was away two to six times a second for each table, 72 instances at a time.

Change: an instance whose orders or row are not current passes requests on, and reads the orders before it answers itself; when the store does not answer it goes on as before. The pause after a failed call is a quarter of the reader's period at least. A standby's own period no longer counts as a gap in which others could not write.

Tests: tst_gateway [standby] (a standby that has just gone into service; an instance that the store turns away), tst_tables (few calls while the store is away). The first fails without the change: it never left standby, see the last point.

--- a/src/features/gateway/MemberRegistry.cpp
+++ b/src/features/gateway/MemberRegistry.cpp
@@ -16,9 +16,9 @@
 
 /// Beyond this the store counts as away.
 constexpr Clock::duration LongestReadGap = std::chrono::milliseconds(3500);
-/// Longer than the time between two reads; the others may not have been able
-/// to write either.
-constexpr Clock::duration LongestContactGap = std::chrono::milliseconds(2600);
+/// Beyond the period of the reads; the others may not have been able to write
+/// either.
+constexpr Clock::duration ContactGap = std::chrono::milliseconds(600);
 
 bool startsWith(const std::string &Text, const std::string &Prefix) {
   return Text.compare(0, Prefix.size(), Prefix) == 0;
@@ -50,8 +50,7 @@
   const bool First = this->ReadAt == Clock::time_point{};
   this->ReadStoreTime = Rows.StoreTime;
   this->ReadAt = Clock::now();
-  this->State.Members.noteRead(Rows.StoreTime, First || Now - this->ReadAtBoot >
-                                                            LongestContactGap);
+  this->State.Members.noteRead(Rows.StoreTime, First || Now - this->ReadAtBoot > this->ReadPeriod + ContactGap);
   this->ReadAtBoot = Now;
   for (const TableRow &Row : Rows.Rows)
     this->apply(Row);
--- a/src/features/gateway/MemberRegistry.h
+++ b/src/features/gateway/MemberRegistry.h
@@ -20,6 +20,8 @@
 
   MemberRegistry(SteeringState &State, std::string Incarnation);
 
+  /// Time between two reads while nothing is wrong.
+  void setReadPeriod(Clock::duration Period) { this->ReadPeriod = Period; }
   void applySnapshot(const TableRows &Rows);
   void applyChanges(const TableRows &Rows);
 
@@ -58,6 +60,7 @@
   /// The store's clock at the last read, and when that was.
   Clock::duration ReadStoreTime{0};
   Clock::time_point ReadAt{};
+  Clock::duration ReadPeriod{0};
   /// The same on bootTime().
   Clock::time_point ReadAtBoot{};
   /// By service.
--- a/src/features/gateway/SteeringInstance.cpp
+++ b/src/features/gateway/SteeringInstance.cpp
@@ -52,7 +52,7 @@
 /// Longest wait for current entries.
 constexpr Clock::duration LongestCatchUp = std::chrono::milliseconds(400);
 constexpr Clock::duration CatchUpPoll = std::chrono::milliseconds(5);
-constexpr Clock::duration StandbyRetry = std::chrono::milliseconds(300);
+constexpr Clock::duration CatchUpRetry = std::chrono::milliseconds(300);
 constexpr Clock::duration MaintenancePeriod = std::chrono::milliseconds(250);
 constexpr std::size_t MostAddresses = 64;
 const std::string MetricsPath = "/metrics";
@@ -198,21 +198,23 @@
 asio::awaitable<HttpMessage>
 SteeringInstance::answerCaller(HttpMessage Request, CancellationPtr Cancel) {
   const Clock::time_point Now = bootTime();
-  const bool Serves = !this->State.Standby && this->State.Tenure.holds(Now);
-  if (StandbyForwarder::takeMark(Request) &&
-      (!Serves || Now - this->State.OrdersAsOf > OldestOrders))
+  const bool OldOrders = Now - this->State.OrdersAsOf > OldestOrders;
+  const bool Serves = !this->State.Standby && this->State.Tenure.holds(Now) &&
+                      Now < this->State.KeysValidUntil;
+  if (StandbyForwarder::takeMark(Request) && (!Serves || OldOrders))
     co_return StandbyForwarder::declined();
   this->noteRequest(Clock::now());
   if (this->State.MembersKnown && !Serves) {
     auto Answer = co_await this->Forwarder.forwardRequest(Request, Cancel);
     if (Answer)
       co_return std::move(*Answer);
-  }
-  if (this->State.Standby) {
-    const bool Current = co_await this->catchUp();
-    if (!Current)
-      co_return refusalReply(503, "the store does not answer this standby",
-                             StandbyRetry);
+    // Orders may be new that a standby has not read. Without the store there
+    // are none to be read.
+    if (this->State.Standby || (OldOrders && !this->OrderTable.isFailing())) {
+      const bool Current = co_await this->catchUp();
+      if (!Current)
+        co_return refusalReply(503, "the store does not answer", CatchUpRetry);
+    }
   }
   co_return co_await this->Requests.handle(std::move(Request),
                                            std::move(Cancel));
@@ -369,6 +371,7 @@
     this->OrderTable.setPace(Clock::duration{0}, StandbyPeriod);
     this->BackendTable.setPace(BackendPeriod, StandbyPeriod);
     this->MemberTable.setPace(MemberPeriod, StandbyMemberPeriod);
+    this->Members.setReadPeriod(StandbyMemberPeriod);
     return;
   }
   Clock::duration Period = Busy ? BusyPeriod : MemberPeriod;
@@ -377,6 +380,8 @@
   this->OrderTable.setPace(OrderWait, Clock::duration{0});
   this->BackendTable.setPace(BackendPeriod, BackendPeriod);
   this->MemberTable.setPace(Period, Period);
+  // Those who read in its place may be at the longer one.
+  this->Members.setReadPeriod(MemberPeriod);
 }
 
 void SteeringInstance::reviewStandby(Clock::time_point Now) {
--- a/src/features/gateway/tst_SteeringInstance.cpp
+++ b/src/features/gateway/tst_SteeringInstance.cpp
@@ -436,6 +436,57 @@
   CHECK(hasStatus(B.request("GET", "/open/x"), 200));
 }
 
+// Guards against an answer by an old configuration in the moment in which a
+// standby goes into service.
+TEST_CASE("An instance that has just left standby reads the orders first",
+          "[standby]") {
+  StandbyBed B;
+  B.advance(6s);
+  B.configure(7, {"newkey"});
+  // The large ones have gone, and this one finds it out by itself.
+  for (int Step = 0; Step < 2000 && B.Instance->state().Standby; ++Step)
+    B.advance(10ms);
+  REQUIRE_FALSE(B.Instance->state().Standby);
+  CHECK(hasStatus(B.request("GET", "/open/x"), 200));
+  CHECK(B.Instance->state().Config->Version == 7);
+}
+
+TEST_CASE("An instance that the store turns away passes requests on to one "
+          "that it serves",
+          "[standby]") {
+  Bed B;
+  int Served = 0;
+  HttpServer Other(B.Context,
+                   [&](HttpMessage Request,
+                       const CancellationPtr &) -> asio::awaitable<HttpMessage> {
+                     ++Served;
+                     co_return Bed::goodAnswer(Request);
+                   });
+  REQUIRE(Other.listen("127.0.0.1:0"));
+  MemberRecord Record;
+  Record.Name = "other";
+  Record.Zone = "z-a";
+  Record.Region = "z";
+  Record.Address = "127.0.0.1:" + std::to_string(Other.port());
+  const auto Put = [&] {
+    Record.WrittenAt = Clock::now().time_since_epoch();
+    B.Tables.put("redwingrack", "instance/other", encodeMember(Record));
+  };
+  Put();
+  B.start();
+  for (int Second = 0; Second < 4; ++Second) {
+    B.advance(1s);
+    Put();
+  }
+  B.advance(1s);
+  CHECK(hasStatus(B.request("GET", "/safe/x"), 200));
+  CHECK(Served == 0);
+  B.Tables.Down = true;
+  B.advance(6s);
+  CHECK(hasStatus(B.request("GET", "/safe/x"), 200));
+  CHECK(Served == 1);
+}
+
 TEST_CASE("A standby serves with the newest configuration, and removes servers "
           "that left while it did not look",
           "[standby]") {
--- a/src/features/tables/TableWatch.cpp
+++ b/src/features/tables/TableWatch.cpp
@@ -11,6 +11,13 @@
 
 namespace rr {
 
+namespace {
+
+/// Attempts in one period while the store is away.
+constexpr int RetriesInPeriod = 4;
+
+} // namespace
+
 TableWatch::TableWatch(asio::io_context &Context, const TableStore &Tables,
                        Options What, Handlers Calls)
     : Store(Tables), Chosen(std::move(What)), Functions(std::move(Calls)),
@@ -99,7 +106,10 @@
     const bool WasLoaded = this->Loaded;
     if (!co_await this->step()) {
       const double Jitter = std::uniform_real_distribution<>()(this->Random);
-      co_await sleepFor(this->Contact.failed(Clock::now(), Jitter));
+      // A reader that reads seldom also tries seldom.
+      co_await this->pauseFor(
+          std::max(this->Contact.failed(Clock::now(), Jitter),
+                   this->Chosen.Period / RetriesInPeriod));
       continue;
     }
     // The other instance's next read would be missed during a pause.
--- a/src/features/tables/TableWatch.h
+++ b/src/features/tables/TableWatch.h
@@ -46,6 +46,8 @@
   Clock::time_point readStart() const { return this->ReadStart; }
   /// Changes the pace; a shorter one takes effect at once.
   void setPace(Clock::duration Wait, Clock::duration Period);
+  /// The last call was not answered.
+  bool isFailing() const { return this->Contact.isFailing(); }
   bool isSettling() const { return this->Contact.isSettling(Clock::now()); }
 
 private:
--- a/src/features/tables/tst_TableWatch.cpp
+++ b/src/features/tables/tst_TableWatch.cpp
@@ -101,6 +101,25 @@
   CHECK(Bed.Snapshots >= 2);
 }
 
+// Guards against many readers that seldom read and press a store that is away.
+TEST_CASE("A reader that reads seldom tries seldom while the store is away",
+          "[watch]") {
+  WatchBed Bed;
+  Bed.Loop.spawn([&]() -> asio::awaitable<void> { co_await Bed.Watch.run(); });
+  Bed.Watch.setPace(0s, 16s);
+  Bed.Loop.advance(20s);
+  Bed.Tables.Down = true;
+  const int Before = Bed.Tables.Calls;
+  Bed.Loop.advance(20s);
+  CHECK(Bed.Tables.Calls - Before <= 5);
+  // It is in use again.
+  Bed.Watch.setPace(2s, 500ms);
+  Bed.Tables.Down = false;
+  Bed.Tables.put("t", "a", "1");
+  Bed.Loop.advance(500ms);
+  CHECK(Bed.Seen.count("a"));
+}
+
 // Guards against a server that has left and stays in use because a reader
 // that reads seldom takes its own pause for an outage.
 TEST_CASE("A pause between reads is not taken for an outage", "[watch]") {
