--- a/src/features/gateway/StandbyForwarder.cpp
+++ b/src/features/gateway/StandbyForwarder.cpp
@@ -15,9 +15,11 @@
 /// Idle connections to another instance's look-up.
 constexpr std::size_t KeptLookupLinks = 2;
 constexpr Clock::duration LookupTime = std::chrono::milliseconds(300);
-/// To another instance of the region; a second one can still be tried.
+/// To another instance of the region; others can still be tried.
 constexpr Clock::duration ConnectTime = std::chrono::milliseconds(200);
-constexpr std::size_t MostTried = 2;
+constexpr std::size_t MostTried = 3;
+/// One that declined or could not be reached is passed over for this long.
+constexpr Clock::duration AvoidTime = std::chrono::milliseconds(1500);
 /// For a request that names no deadline.
 constexpr Clock::duration LongestRequest = std::chrono::seconds(30);
 /// The other instance ends the request at the route's limit, and its answer
@@ -49,6 +51,23 @@
   return Route ? std::min(Left, Route->Timeout + AnswerMargin) : Left;
 }
 
+std::vector<std::string>
+StandbyForwarder::candidates(Clock::time_point Now) {
+  const GatewaySettings &Settings = this->State.Settings;
+  std::erase_if(this->AvoidedUntil,
+                [Now](const auto &Item) { return Item.second <= Now; });
+  auto Able = this->State.Members.nearInService(
+      Settings.Zone, Settings.Region, &MemberRecord::Address);
+  std::erase_if(Able, [this](const std::string &Address) {
+    return this->AvoidedUntil.contains(Address);
+  });
+  if (!Able.empty())
+    std::rotate(Able.begin(),
+                Able.begin() + std::ptrdiff_t(this->NextStart++ % Able.size()),
+                Able.end());
+  return Able;
+}
+
 bool StandbyForwarder::takeMark(HttpMessage &Request) {
   return std::erase_if(Request.Headers, [](const HttpHeader &Field) {
            return equalIgnoreCase(Field.Name, ForwardedName);
@@ -63,25 +82,25 @@
 
 asio::awaitable<std::optional<HttpMessage>>
 StandbyForwarder::forwardRequest(HttpMessage Request, CancellationPtr Cancel) {
-  const GatewaySettings &Settings = this->State.Settings;
   const Clock::time_point Start = Clock::now();
   const Clock::time_point Limit = Start + this->timeFor(Request);
   removeHopByHopHeaders(Request.Headers);
   Request.Headers.push_back({ForwardedName, "1"});
-  const auto Near = this->State.Members.nearInService(
-      Settings.Zone, Settings.Region, &MemberRecord::Address);
-  const std::size_t First = this->NextStart++;
-  for (std::size_t I = 0; I < std::min(MostTried, Near.size()); ++I) {
+  const std::vector<std::string> Able = this->candidates(Start);
+  for (std::size_t I = 0; I < std::min(MostTried, Able.size()); ++I) {
+    const std::string &Address = Able[I];
     LinkPool::Call Call;
-    Call.Address = Near[(First + I) % std::min(MostTried, Near.size())];
+    Call.Address = Address;
     Call.Request = Request;
     Call.ConnectDeadline = Clock::now() + ConnectTime;
     Call.Deadline = Limit;
     Call.Cancel = Cancel;
     auto Result = co_await this->Requests.call(std::move(Call));
     if (!Result.Error) {
-      if (findHeader(Result.Answer.Headers, DeclinedName))
+      if (findHeader(Result.Answer.Headers, DeclinedName)) {
+        this->AvoidedUntil[Address] = Clock::now() + AvoidTime;
         continue;
+      }
       removeHopByHopHeaders(Result.Answer.Headers);
       Result.Answer.KeepAlive = true;
       co_return std::move(Result.Answer);
@@ -93,6 +112,7 @@
       co_return plainReply(504, "another instance did not answer in time");
     if (Result.MayHaveBeenSent)
       co_return plainReply(502, "another instance's answer was lost");
+    this->AvoidedUntil[Address] = Clock::now() + AvoidTime;
   }
   co_return std::nullopt;
 }
--- a/src/features/gateway/StandbyForwarder.h
+++ b/src/features/gateway/StandbyForwarder.h
@@ -9,7 +9,10 @@
 #include <asio/awaitable.hpp>
 #include <asio/io_context.hpp>
 
+#include <map>
 #include <optional>
+#include <string>
+#include <vector>
 
 namespace rr {
 
@@ -36,11 +39,14 @@
 private:
   /// How long the request may take.
   Clock::duration timeFor(const HttpMessage &Request) const;
+  /// Addresses to try, in order; another one comes first each time.
+  std::vector<std::string> candidates(Clock::time_point Now);
 
   const SteeringState &State;
   /// Looks-up may be repeated, so their connections are kept.
   LinkPool Lookups;
   LinkPool Requests;
+  std::map<std::string, Clock::time_point> AvoidedUntil;
   std::size_t NextStart = 0;
 };
 
