--- a/src/features/gateway/MemberRegistry.cpp
+++ b/src/features/gateway/MemberRegistry.cpp
@@ -50,7 +50,9 @@
   const bool First = this->ReadAt == Clock::time_point{};
   this->ReadStoreTime = Rows.StoreTime;
   this->ReadAt = Clock::now();
-  this->State.Members.noteRead(Rows.StoreTime, First || Now - this->ReadAtBoot > this->ReadPeriod + ContactGap);
+  this->State.Members.noteRead(Rows.StoreTime,
+                               First || Now - this->ReadAtBoot >
+                                            this->ReadPeriod + ContactGap);
   this->ReadAtBoot = Now;
   for (const TableRow &Row : Rows.Rows)
     this->apply(Row);
--- a/src/features/gateway/StandbyForwarder.cpp
+++ b/src/features/gateway/StandbyForwarder.cpp
@@ -51,13 +51,12 @@
   return Route ? std::min(Left, Route->Timeout + AnswerMargin) : Left;
 }
 
-std::vector<std::string>
-StandbyForwarder::candidates(Clock::time_point Now) {
+std::vector<std::string> StandbyForwarder::candidates(Clock::time_point Now) {
   const GatewaySettings &Settings = this->State.Settings;
   std::erase_if(this->AvoidedUntil,
                 [Now](const auto &Item) { return Item.second <= Now; });
-  auto Able = this->State.Members.nearInService(
-      Settings.Zone, Settings.Region, &MemberRecord::Address);
+  auto Able = this->State.Members.nearInService(Settings.Zone, Settings.Region,
+                                                &MemberRecord::Address);
   std::erase_if(Able, [this](const std::string &Address) {
     return this->AvoidedUntil.contains(Address);
   });
--- a/src/features/gateway/tst_SteeringInstance.cpp
+++ b/src/features/gateway/tst_SteeringInstance.cpp
@@ -457,8 +457,8 @@
   Bed B;
   int Served = 0;
   HttpServer Other(B.Context,
-                   [&](HttpMessage Request,
-                       const CancellationPtr &) -> asio::awaitable<HttpMessage> {
+                   [&](HttpMessage Request, const CancellationPtr &)
+                       -> asio::awaitable<HttpMessage> {
                      ++Served;
                      co_return Bed::goodAnswer(Request);
                    });
