--- a/src/features/gateway/InstanceTestBed.cpp
+++ b/src/features/gateway/InstanceTestBed.cpp
@@ -4,82 +4,12 @@
 
 namespace rr {
 
-namespace {
-
-GatewaySettings testSettings() {
-  GatewaySettings Settings;
-  Settings.Name = "i0";
-  Settings.Zone = "z-a";
-  Settings.Region = "z";
-  Settings.CallerAddress = "127.0.0.1:0";
-  Settings.ReadinessAddress = "127.0.0.1:0";
-  Settings.LookupAddress = "127.0.0.1:0";
-  Settings.MetricsAddress = "127.0.0.1:0";
-  Settings.Zones = {{"z-a", "z"}, {"y-a", "y"}};
-  Settings.Headers = {"Id",        "Deadline", "Key",
-                      "Workspace", "Object",   "Expect-Server",
-                      "Stamp",     "Not-Run",  "Load"};
-  return Settings;
-}
-
-SteeringRoute route(const std::string &Name, RouteKind Kind) {
-  SteeringRoute Route;
-  Route.Name = Name;
-  Route.Host = "h";
-  Route.PathPrefix = "/" + Name + "/";
-  Route.Kind = Kind;
-  Route.TargetLatency = std::chrono::milliseconds(500);
-  Route.Timeout = std::chrono::seconds(2);
-  Route.MaxAttempts = 2;
-  Route.Split = {{"stock", 1}};
-  return Route;
-}
-
-} // namespace
-
 InstanceTestBed::InstanceTestBed(double Capacity) {
   Clock::pause();
-  PlatformCodec Codec;
-  Codec.BackendTable = "backends";
-  Codec.OrderTable = "orders";
-  // A row holds ADDRESS ZONE STATE.
-  Codec.DecodeBackend = [](const TableRow &Row) -> Outcome<BackendRecord> {
-    std::istringstream Text(Row.Value);
-    BackendRecord Record;
-    std::string State;
-    if (!(Text >> Record.Address >> Record.Zone >> State))
-      return failure(Errc::Malformed);
-    Record.Id = Row.Key;
-    Record.Service = "stock";
-    Record.Version = "v1";
-    Record.Slots = 4;
-    Record.Draining = State == "draining";
-    return Record;
-  };
-  Codec.DecodeOrder = [this](const TableRow &Row) -> Outcome<OperatorOrder> {
-    if (Row.Key == "config")
-      return OperatorOrder(this->Configs.at(std::stoull(Row.Value)));
-    return OperatorOrder(EvacuationOrder{Row.Key});
-  };
-  Codec.EncodeMoveStatus = [](const VersionMove &Move) {
-    return TableWrite{"status", Move.Service, Move.Target, {}};
-  };
-  Codec.DecodeLookup = [](const HttpMessage &) -> Outcome<LookupQuery> {
-    return LookupQuery{"h", "z-a", "z"};
-  };
-  Codec.EncodeLookup = [](const std::vector<std::string> &Addresses,
-                          Clock::duration) {
-    HttpMessage Reply;
-    Reply.Status = 200;
-    for (const std::string &Address : Addresses)
-      Reply.Body += Address + "\n";
-    return Reply;
-  };
-  Codec.IsReadinessCall = [](const HttpMessage &) { return true; };
   GatewaySettings Settings = testSettings();
   Settings.Capacity = Capacity;
   this->Instance = std::make_unique<SteeringInstance>(
-      this->Context, Settings, this->Tables.tables(), Codec);
+      this->Context, Settings, this->Tables.tables(), testCodec(this->Configs));
 }
 
 InstanceTestBed::~InstanceTestBed() { Clock::resume(); }
@@ -136,10 +66,11 @@
                                 std::vector<std::string> Keys, double Rate) {
   auto Config = std::make_shared<SteeringConfig>();
   Config->Version = Version;
-  SteeringRoute Open = route("open", RouteKind::Safe);
+  SteeringRoute Open = testServiceRoute("open", RouteKind::Safe);
   Open.AllowAnonymous = true;
-  Config->RoutesByHost["h"] = {route("safe", RouteKind::Safe),
-                               route("order", RouteKind::Unsafe), Open};
+  Config->RoutesByHost["h"] = {testServiceRoute("safe", RouteKind::Safe),
+                               testServiceRoute("order", RouteKind::Unsafe),
+                               Open};
   Config->Services["stock"] = {"stock", 100, 10};
   SteeringWorkspace Workspace;
   Workspace.Name = "w";
--- a/src/features/gateway/InstanceTestBed.h
+++ b/src/features/gateway/InstanceTestBed.h
@@ -2,6 +2,7 @@
 #define REDWINGRACK_GATEWAY_INSTANCETESTBED_H
 
 #include "gateway/SteeringInstance.h"
+#include "gateway/TestPlatform.h"
 #include "http1/HttpServer.h"
 #include "http1/LoopbackPeer.h"
 #include "tables/FakeTables.h"
@@ -60,7 +61,7 @@
   std::unique_ptr<SteeringInstance> Instance;
 
 private:
-  std::map<std::uint64_t, std::shared_ptr<const SteeringConfig>> Configs;
+  TestConfigurations Configs;
 };
 
 } // namespace rr
--- /dev/null
+++ b/src/features/gateway/SoakFleet.cpp
@@ -0,0 +1,542 @@
+#include "gateway/SoakFleet.h"
+
+#include "base/Timer.h"
+#include "gateway/InstanceTestBed.h"
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include <algorithm>
+
+namespace rr {
+
+namespace {
+
+constexpr Clock::duration Step = std::chrono::milliseconds(10);
+constexpr Clock::duration FaultPeriod = std::chrono::milliseconds(2500);
+/// More than the workspace's rate, so that every instance uses its part.
+constexpr double RequestsPerStep = 2.2;
+constexpr double Rate = 60;
+constexpr double Burst = 60;
+constexpr Clock::duration QuotaWindow = std::chrono::seconds(5);
+constexpr Clock::duration RevocationTime = std::chrono::seconds(5);
+constexpr Clock::duration DrainTime = std::chrono::milliseconds(2500);
+constexpr Clock::duration EvacuationTime = std::chrono::seconds(5);
+/// After a fault of the store or of instances nothing is timed for this long.
+constexpr Clock::duration ContactTime = std::chrono::seconds(4);
+constexpr Clock::duration CallerTime = std::chrono::milliseconds(1500);
+const std::vector<std::string> Zones{"z-a", "z-b", "y-a", "y-b"};
+
+std::string regionOf(const std::string &Zone) { return Zone.substr(0, 1); }
+
+std::string freeAddress(asio::io_context &Context) {
+  asio::ip::tcp::acceptor Acceptor(Context,
+                                   {asio::ip::make_address("127.0.0.1"), 0});
+  return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+}
+
+std::string seconds(Clock::time_point Time) {
+  return std::to_string(
+      std::chrono::duration<double>(Time.time_since_epoch()).count());
+}
+
+} // namespace
+
+SoakFleet::SoakFleet(unsigned Seed)
+    : Random(Seed), Callers(this->World, 4, {}) {
+  Clock::pause();
+  this->configure();
+  for (const std::string &Zone : Zones)
+    for (int Index = 0; Index < 2; ++Index)
+      this->addServer(Zone);
+  for (const std::string &Zone : Zones) {
+    auto Item = std::make_unique<Node>();
+    Item->Name = "i-" + Zone;
+    Item->Zone = Zone;
+    Item->CallerAddress = freeAddress(this->World);
+    Item->PeerAddress = freeAddress(this->World);
+    this->startNode(*Item);
+    this->Nodes.push_back(std::move(Item));
+  }
+  this->disturb(Clock::duration::zero());
+  for (int Index = 0; Index < 400; ++Index)
+    this->step();
+}
+
+SoakFleet::~SoakFleet() {
+  this->Nodes.clear();
+  Clock::resume();
+}
+
+bool SoakFleet::chance(double Part) {
+  return std::uniform_real_distribution<>()(this->Random) < Part;
+}
+
+std::size_t SoakFleet::pick(std::size_t Size) {
+  return std::uniform_int_distribution<std::size_t>(0, Size - 1)(this->Random);
+}
+
+Clock::duration SoakFleet::between(int LeastMs, int MostMs) {
+  return std::chrono::milliseconds(
+      std::uniform_int_distribution<>(LeastMs, MostMs)(this->Random));
+}
+
+bool SoakFleet::isCalm() const { return Clock::now() >= this->CalmFrom; }
+
+void SoakFleet::disturb(Clock::duration Time) {
+  this->CalmFrom = std::max(this->CalmFrom, Clock::now() + Time + ContactTime);
+}
+
+void SoakFleet::note(const std::string &Fault) {
+  this->Faults.push_back(seconds(Clock::now()) + " " + Fault);
+}
+
+void SoakFleet::find(const std::string &What) {
+  this->Findings.push_back(seconds(Clock::now()) + " " + What);
+}
+
+TableStore SoakFleet::tablesOf(Node &Item) {
+  const TableStore All = this->Tables.tables();
+  const auto Reaches = [this, &Item] {
+    return Clock::now() >= std::max(Item.CutUntil, this->StoreDownUntil);
+  };
+  TableStore Result;
+  Result.ReadTable =
+      [All, Reaches](std::string Table) -> asio::awaitable<Outcome<TableRows>> {
+    if (!Reaches())
+      co_return failure(Errc::Unavailable);
+    co_return co_await All.ReadTable(std::move(Table));
+  };
+  Result.ReadChanges =
+      [All,
+       Reaches](std::string Table, std::uint64_t After,
+                Clock::duration Wait) -> asio::awaitable<Outcome<TableRows>> {
+    if (!Reaches())
+      co_return failure(Errc::Unavailable);
+    auto Rows = co_await All.ReadChanges(std::move(Table), After, Wait);
+    // What was read before a cut does not arrive during it.
+    if (!Reaches())
+      co_return failure(Errc::Unavailable);
+    co_return Rows;
+  };
+  Result.Commit = [this, All, Reaches](std::vector<TableWrite> Writes)
+      -> asio::awaitable<Outcome<std::uint64_t>> {
+    if (!Reaches() || Clock::now() < this->WritesRefusedUntil)
+      co_return failure(Errc::Unavailable);
+    auto Version = co_await All.Commit(std::move(Writes));
+    if (Clock::now() < this->AnswersLostUntil && this->chance(0.5))
+      co_return failure(Errc::Unknown);
+    co_return Version;
+  };
+  return Result;
+}
+
+void SoakFleet::startNode(Node &Item) {
+  GatewaySettings Settings = testSettings();
+  Settings.Name = Item.Name;
+  Settings.Zone = Item.Zone;
+  Settings.Region = regionOf(Item.Zone);
+  Settings.CallerAddress = Item.CallerAddress;
+  Settings.PeerAddress = Item.PeerAddress;
+  Settings.Zones.clear();
+  for (const std::string &Zone : Zones)
+    Settings.Zones[Zone] = regionOf(Zone);
+  Settings.Bounds.RevocationTime = RevocationTime;
+  Settings.Bounds.Quota = {QuotaWindow, 0.1, 20};
+  Item.Context = std::make_unique<asio::io_context>();
+  Item.Instance = std::make_unique<SteeringInstance>(
+      *Item.Context, Settings, this->tablesOf(Item), testCodec(this->Configs));
+  Item.Stopping = false;
+  if (!Item.Instance->start())
+    this->find("an instance could not listen again");
+}
+
+void SoakFleet::killNode(Node &Item, Clock::duration Down) {
+  Item.Instance.reset();
+  Item.Context.reset();
+  Item.StartAt = Clock::now() + Down;
+  this->disturb(Down);
+}
+
+void SoakFleet::addServer(const std::string &Zone) {
+  const std::string Id = "s" + std::to_string(++this->LastServer);
+  Server &Item = this->Servers[Id];
+  Item.Zone = Zone;
+  Item.Http = std::make_unique<HttpServer>(
+      this->World, [this, Id](HttpMessage Message, const CancellationPtr &) {
+        return this->serve(Id, std::move(Message));
+      });
+  if (!Item.Http->listen("127.0.0.1:0"))
+    std::abort();
+  Item.Address = "127.0.0.1:" + std::to_string(Item.Http->port());
+  this->putServer(Id);
+}
+
+void SoakFleet::putServer(const std::string &Id) {
+  const Server &Item = this->Servers.at(Id);
+  const bool Draining = Item.DrainingSince != Clock::time_point{};
+  this->Tables.put("backends", Id,
+                   Item.Address + " " + Item.Zone +
+                       (Draining ? " draining" : " ready"));
+}
+
+void SoakFleet::configure() {
+  auto Config = std::make_shared<SteeringConfig>();
+  Config->Version = ++this->ConfigVersion;
+  SteeringRoute Open = testServiceRoute("open", RouteKind::Safe);
+  Open.AllowAnonymous = true;
+  Config->RoutesByHost["h"] = {testServiceRoute("safe", RouteKind::Safe),
+                               testServiceRoute("order", RouteKind::Unsafe),
+                               Open};
+  Config->Services["stock"] = {"stock", 100, 10};
+  SteeringWorkspace Workspace;
+  Workspace.Name = "w";
+  Workspace.Rate = Rate;
+  Workspace.Burst = Burst;
+  Config->Workspaces.push_back(Workspace);
+  Config->NeedsKeys = true;
+  for (const std::string &Key : this->Keys)
+    Config->KeyOwners[Key] = 0;
+  this->Configs[this->ConfigVersion] = Config;
+  this->Tables.put("orders", "config", std::to_string(this->ConfigVersion));
+}
+
+void SoakFleet::noteRun(const std::string &Id, const HttpMessage &Message) {
+  const std::string *Field = findHeader(Message.Headers, "Id");
+  const auto Found = Field ? this->Requests.find(*Field) : this->Requests.end();
+  if (Found == this->Requests.end()) {
+    this->find("a server ran a request that nobody sent");
+    return;
+  }
+  Request &Item = Found->second;
+  ++Item.Runs;
+  if (Item.Unsafe && Item.Runs > 1)
+    this->find("request " + *Field + " may run once and ran again");
+  if (findHeader(Message.Headers, "Key"))
+    this->find("a key was passed on to a server");
+  const auto Gone = this->Withdrawn.find(Item.Key);
+  if (Gone != this->Withdrawn.end() &&
+      Item.SentAt > Gone->second + RevocationTime)
+    this->find("request " + *Field + " ran with a withdrawn key");
+  const std::string *Workspace = findHeader(Message.Headers, "Workspace");
+  if (!Item.Key.empty() && (!Workspace || *Workspace != "w"))
+    this->find("request " + *Field + " ran without its workspace");
+  if (!Item.Key.empty()) {
+    this->Admitted.push_back(Clock::now());
+    while (this->Admitted.front() + QuotaWindow <= Clock::now())
+      this->Admitted.pop_front();
+    const double Most =
+        (Rate * std::chrono::duration<double>(QuotaWindow).count() + Burst) *
+            1.1 +
+        20;
+    if (double(this->Admitted.size()) > Most)
+      this->find("the workspace's rate was exceeded: " +
+                 std::to_string(this->Admitted.size()));
+  }
+  this->checkPlaces(Id);
+}
+
+void SoakFleet::checkPlaces(const std::string &Id) {
+  if (!this->isCalm())
+    return;
+  const Server &Item = this->Servers.at(Id);
+  const Clock::time_point Now = Clock::now();
+  if (Item.DrainingSince != Clock::time_point{} &&
+      Now > Item.DrainingSince + DrainTime)
+    this->find("server " + Id + " got a request while it drains");
+  const auto Order = this->Evacuated.find(Item.Zone);
+  if (Order != this->Evacuated.end() && Now > Order->second + EvacuationTime)
+    this->find("zone " + Item.Zone + " got a request while it is evacuated");
+}
+
+asio::awaitable<HttpMessage> SoakFleet::serve(std::string Id,
+                                              HttpMessage Message) {
+  const std::string *Expected = findHeader(Message.Headers, "Expect-Server");
+  if (!Expected || *Expected != Id) {
+    HttpMessage Reply = InstanceTestBed::notRunAnswer(Message);
+    Reply.Status = 421;
+    co_return Reply;
+  }
+  if (this->ServersFail && this->chance(0.03))
+    co_return InstanceTestBed::notRunAnswer(Message);
+  this->noteRun(Id, Message);
+  co_await sleepFor(this->between(20, 120));
+  HttpMessage Reply = InstanceTestBed::goodAnswer(Message);
+  if (this->ServersFail && this->chance(0.02))
+    Reply.Status = 500;
+  // An answer to another request: the instance must not pass it on.
+  if (this->ServersFail && this->chance(0.02))
+    for (HttpHeader &Field : Reply.Headers)
+      if (Field.Name == "Id")
+        Field.Value = "another";
+  co_return Reply;
+}
+
+asio::awaitable<void> SoakFleet::call(std::string Id, std::string Path,
+                                      std::string Address) {
+  LinkPool::Call Call;
+  Call.Address = std::move(Address);
+  Call.Request.Method = "GET";
+  Call.Request.Target = std::move(Path);
+  Call.Request.Headers = {{"Host", "h"},
+                          {"Id", Id},
+                          {"Key", this->Requests.at(Id).Key},
+                          {"Workspace", "forged"},
+                          {"Deadline", "1500"}};
+  Call.ConnectDeadline = Clock::now() + std::chrono::seconds(1);
+  Call.Deadline = Clock::now() + CallerTime;
+  const auto Result = co_await this->Callers.call(std::move(Call));
+  Request &Item = this->Requests.at(Id);
+  Item.Ended = true;
+  if (Result.Error)
+    co_return;
+  Item.Status = Result.Answer.Status;
+  const std::string *Echo = findHeader(Result.Answer.Headers, "Id");
+  if (Item.Status == 200 &&
+      (!findHeader(Result.Answer.Headers, "Stamp") ||
+       Result.Answer.Body != "whole body" || !Echo || *Echo != Id))
+    this->find("request " + Id + " got an answer that is not its own");
+}
+
+void SoakFleet::sendRequests() {
+  const int Count = std::poisson_distribution<>(RequestsPerStep)(this->Random);
+  for (int Index = 0; Index < Count; ++Index) {
+    const std::string Id = "r" + std::to_string(++this->LastId);
+    Request &Item = this->Requests[Id];
+    Item.SentAt = Clock::now();
+    const std::size_t Kind = this->pick(5);
+    Item.Unsafe = Kind < 2;
+    if (Kind != 4)
+      Item.Key = "k" + std::to_string(this->pick(3));
+    std::string Path = "/safe/x";
+    if (Item.Unsafe)
+      Path = "/order/x";
+    else if (Kind == 4)
+      Path = "/open/x";
+    const Node &To = *this->Nodes[this->pick(this->Nodes.size())];
+    if (!To.Instance || To.Stopping) {
+      Item.Ended = true;
+      continue;
+    }
+    asio::co_spawn(this->World, this->call(Id, Path, To.CallerAddress),
+                   asio::detached);
+  }
+}
+
+void SoakFleet::pollAll() {
+  bool Any = true;
+  for (int Round = 0; Any && Round < 10000; ++Round) {
+    Any = this->World.poll() > 0;
+    for (const auto &Item : this->Nodes)
+      if (Item->Context && Clock::now() >= Item->FrozenUntil)
+        Any = Item->Context->poll() > 0 || Any;
+  }
+}
+
+void SoakFleet::endNodes() {
+  for (const auto &Item : this->Nodes) {
+    // A stop ends in a handler of the instance, which must return first.
+    if (Item->Stopping && Item->Instance && Clock::now() >= Item->StartAt)
+      this->killNode(*Item, Clock::duration::zero());
+    if (!Item->Instance && Clock::now() >= Item->StartAt)
+      this->startNode(*Item);
+  }
+}
+
+void SoakFleet::maintainServers() {
+  const Clock::time_point Now = Clock::now();
+  std::vector<std::string> Gone;
+  for (auto &[Id, Item] : this->Servers)
+    if (Item.EndsAt != Clock::time_point{} && Now >= Item.EndsAt)
+      Gone.push_back(Id);
+  for (const std::string &Id : Gone) {
+    Server &Item = this->Servers.at(Id);
+    this->Tables.erase("backends", Id);
+    const std::string Zone = Item.Zone;
+    this->Ended.push_back(std::move(Item.Http));
+    if (this->Ended.back())
+      this->Ended.back()->stopAccepting();
+    this->Servers.erase(Id);
+    this->addServer(Zone);
+  }
+}
+
+void SoakFleet::step() {
+  Clock::advance(Step);
+  this->endNodes();
+  this->maintainServers();
+  const auto Wake = [](asio::io_context &Context) {
+    Context.restart();
+    auto Trigger = std::make_shared<Timer>(Context, Clock::time_point::min());
+    Trigger->async_wait([Trigger](const asio::error_code &) {});
+  };
+  Wake(this->World);
+  for (const auto &Item : this->Nodes)
+    if (Item->Context && Clock::now() >= Item->FrozenUntil)
+      Wake(*Item->Context);
+  this->pollAll();
+}
+
+void SoakFleet::cutOff(Node &Item, Clock::duration Time) {
+  this->note(Item.Name + " is cut off from the store");
+  Item.CutUntil = Clock::now() + Time;
+  this->disturb(Time);
+}
+
+void SoakFleet::breakSomething() {
+  Node &Some = *this->Nodes[this->pick(this->Nodes.size())];
+  const Clock::time_point Now = Clock::now();
+  const Clock::duration Time = this->between(1000, 6000);
+  switch (this->pick(12)) {
+  case 0:
+    this->note("the store is away");
+    this->StoreDownUntil = Now + Time;
+    this->disturb(Time);
+    break;
+  case 1:
+    this->cutOff(Some, Time);
+    break;
+  case 2:
+    this->note("answers to writes are lost");
+    this->AnswersLostUntil = Now + Time;
+    this->disturb(Time);
+    break;
+  case 3:
+    this->note(Some.Name + " is killed");
+    this->killNode(Some, this->between(100, 3000));
+    break;
+  case 4:
+    this->note(Some.Name + " stands still");
+    Some.FrozenUntil = Now + Time;
+    this->disturb(Time);
+    break;
+  case 5:
+    this->note("all instances are killed");
+    for (const auto &Item : this->Nodes)
+      this->killNode(*Item, this->between(100, 2000));
+    break;
+  case 6: {
+    const auto Chosen =
+        std::next(this->Servers.begin(),
+                  std::ptrdiff_t(this->pick(this->Servers.size())));
+    this->note("server " + Chosen->first + " crashes");
+    Chosen->second.Crashed = true;
+    this->Ended.push_back(std::move(Chosen->second.Http));
+    this->Ended.pop_back();
+    Chosen->second.EndsAt = Now + std::chrono::seconds(3);
+    break;
+  }
+  case 7: {
+    const auto Chosen =
+        std::next(this->Servers.begin(),
+                  std::ptrdiff_t(this->pick(this->Servers.size())));
+    if (Chosen->second.EndsAt != Clock::time_point{})
+      break;
+    this->note("server " + Chosen->first + " drains");
+    Chosen->second.DrainingSince = Now;
+    Chosen->second.EndsAt = Now + std::chrono::seconds(5);
+    this->putServer(Chosen->first);
+    break;
+  }
+  case 8: {
+    const std::string Key = "k" + std::to_string(this->pick(3));
+    if (this->Keys.erase(Key)) {
+      this->note("key " + Key + " is withdrawn");
+      this->Withdrawn[Key] = Now;
+      // Those that cannot learn of it must stop in time.
+      for (int Cut = 0; Cut < 2; ++Cut)
+        this->cutOff(*this->Nodes[this->pick(this->Nodes.size())],
+                     this->between(5000, 9000));
+    } else {
+      this->note("key " + Key + " is added");
+      this->Keys.insert(Key);
+      this->Withdrawn.erase(Key);
+    }
+    this->configure();
+    break;
+  }
+  case 9: {
+    const std::string &Zone = Zones[this->pick(Zones.size())];
+    if (this->Evacuated.erase(Zone)) {
+      this->note("zone " + Zone + " is taken back");
+      this->Tables.erase("orders", Zone);
+    } else if (this->Evacuated.empty()) {
+      this->note("zone " + Zone + " is evacuated");
+      this->Evacuated[Zone] = Now;
+      this->Tables.put("orders", Zone, "");
+    }
+    break;
+  }
+  case 10:
+    this->note("the store forgets its history");
+    this->Tables.dropHistory();
+    break;
+  default:
+    if (!Some.Instance || Some.Stopping || Now < Some.FrozenUntil)
+      break;
+    this->note(Some.Name + " is stopped");
+    Some.Stopping = true;
+    // It is gone when the time for the stop is over.
+    Some.StartAt = Now + std::chrono::seconds(6);
+    Some.Instance->beginStop([] {});
+    this->disturb(std::chrono::seconds(6));
+    break;
+  }
+}
+
+void SoakFleet::playFaults(Clock::duration Time) {
+  const int PerFault = int(FaultPeriod / Step);
+  for (int Index = 0; Index < int(Time / Step); ++Index) {
+    if (Index % PerFault == PerFault - 1)
+      this->breakSomething();
+    this->sendRequests();
+    this->step();
+  }
+}
+
+void SoakFleet::playCalm(Clock::duration Time) {
+  this->note("calm");
+  this->StoreDownUntil = this->AnswersLostUntil = Clock::time_point{};
+  this->ServersFail = false;
+  for (const auto &Item : this->Nodes)
+    Item->CutUntil = Item->FrozenUntil = Clock::time_point{};
+  for (const auto &Item : this->Evacuated)
+    this->Tables.erase("orders", Item.first);
+  this->Evacuated.clear();
+  for (int Index = 0; Index < int(Time / Step); ++Index) {
+    this->sendRequests();
+    this->step();
+  }
+}
+
+void SoakFleet::finish() {
+  for (int Index = 0; Index < 400; ++Index)
+    this->step();
+  for (const auto &[Id, Item] : this->Requests) {
+    const bool Promise = Item.Status == 429 || Item.Status == 503 ||
+                         Item.Status == 421 || Item.Status == 408;
+    if (Item.Unsafe && Promise && Item.Runs > 0)
+      this->find("request " + Id + " was refused with " +
+                 std::to_string(Item.Status) + " and ran");
+    if (!Item.Ended)
+      this->find("request " + Id + " never ended");
+  }
+}
+
+double SoakFleet::servedSince(Clock::time_point From) const {
+  double All = 0;
+  double Served = 0;
+  for (const auto &Entry : this->Requests) {
+    const Request &Item = Entry.second;
+    const bool Owed = Item.Key.empty() || this->Keys.count(Item.Key);
+    if (Item.SentAt < From || !Owed)
+      continue;
+    ++All;
+    // Beyond the rate nothing is owed.
+    Served += Item.Status == 200 || Item.Status == 429 ? 1 : 0;
+  }
+  return All > 0 ? Served / All : 1;
+}
+
+} // namespace rr
--- /dev/null
+++ b/src/features/gateway/SoakFleet.h
@@ -0,0 +1,134 @@
+#ifndef REDWINGRACK_GATEWAY_SOAKFLEET_H
+#define REDWINGRACK_GATEWAY_SOAKFLEET_H
+
+#include "gateway/SteeringInstance.h"
+#include "gateway/TestPlatform.h"
+#include "http1/HttpServer.h"
+#include "http1/LinkPool.h"
+#include "tables/FakeTables.h"
+
+#include <asio/io_context.hpp>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace rr {
+
+/// Real instances, backend servers and callers over loopback on a paused
+/// clock, with random faults. What callers and servers see is checked against
+/// the promises of docs/on-the-platform.md.
+class SoakFleet {
+public:
+  explicit SoakFleet(unsigned Seed);
+  ~SoakFleet();
+  SoakFleet(const SoakFleet &) = delete;
+  SoakFleet &operator=(const SoakFleet &) = delete;
+
+  /// Plays load, with a random fault every few seconds.
+  void playFaults(Clock::duration Time);
+  /// Ends all faults and plays load.
+  void playCalm(Clock::duration Time);
+  /// Waits for the last answers and checks all requests.
+  void finish();
+
+  /// Broken promises, each with what was seen.
+  const std::vector<std::string> &findings() const { return this->Findings; }
+  /// Faults in order, for a report.
+  const std::vector<std::string> &faults() const { return this->Faults; }
+  std::size_t sent() const { return this->Requests.size(); }
+  /// Part of the requests sent since \p From that were answered with success.
+  double servedSince(Clock::time_point From) const;
+
+private:
+  struct Node {
+    std::string Name;
+    std::string Zone;
+    std::string CallerAddress;
+    std::string PeerAddress;
+    std::unique_ptr<asio::io_context> Context;
+    std::unique_ptr<SteeringInstance> Instance;
+    Clock::time_point CutUntil{};
+    Clock::time_point FrozenUntil{};
+    Clock::time_point StartAt{};
+    bool Stopping = false;
+  };
+  struct Server {
+    std::string Zone;
+    std::string Address;
+    std::unique_ptr<HttpServer> Http;
+    Clock::time_point DrainingSince{};
+    Clock::time_point EndsAt{};
+    bool Crashed = false;
+  };
+  struct Request {
+    Clock::time_point SentAt;
+    bool Unsafe = false;
+    std::string Key;
+    int Runs = 0;
+    int Status = 0;
+    bool Ended = false;
+  };
+
+  void step();
+  void pollAll();
+  void sendRequests();
+  void breakSomething();
+  void cutOff(Node &Item, Clock::duration Time);
+  void endNodes();
+  void maintainServers();
+  asio::awaitable<void> call(std::string Id, std::string Path,
+                             std::string Address);
+  asio::awaitable<HttpMessage> serve(std::string Server, HttpMessage Message);
+  void noteRun(const std::string &Server, const HttpMessage &Message);
+  void checkPlaces(const std::string &Server);
+
+  void startNode(Node &Item);
+  void killNode(Node &Item, Clock::duration Down);
+  void addServer(const std::string &Zone);
+  void putServer(const std::string &Id);
+  void configure();
+  TableStore tablesOf(Node &Item);
+
+  bool chance(double Part);
+  std::size_t pick(std::size_t Size);
+  Clock::duration between(int LeastMs, int MostMs);
+  /// No fault of store or instances now, nor for some seconds.
+  bool isCalm() const;
+  void disturb(Clock::duration Time);
+  void note(const std::string &Fault);
+  void find(const std::string &What);
+
+  std::mt19937 Random;
+  asio::io_context World;
+  FakeTables Tables;
+  TestConfigurations Configs;
+  std::vector<std::unique_ptr<Node>> Nodes;
+  std::map<std::string, Server> Servers;
+  /// Also those that are gone, whose handlers may still run.
+  std::vector<std::unique_ptr<HttpServer>> Ended;
+  LinkPool Callers;
+  std::map<std::string, Request> Requests;
+  std::deque<Clock::time_point> Admitted;
+  std::set<std::string> Keys{"k0", "k1"};
+  std::map<std::string, Clock::time_point> Withdrawn;
+  std::map<std::string, Clock::time_point> Evacuated;
+  Clock::time_point StoreDownUntil{};
+  Clock::time_point WritesRefusedUntil{};
+  Clock::time_point AnswersLostUntil{};
+  Clock::time_point CalmFrom{};
+  std::uint64_t ConfigVersion = 0;
+  int LastId = 0;
+  int LastServer = 0;
+  bool ServersFail = true;
+  std::vector<std::string> Findings;
+  std::vector<std::string> Faults;
+};
+
+} // namespace rr
+
+#endif // REDWINGRACK_GATEWAY_SOAKFLEET_H
--- /dev/null
+++ b/src/features/gateway/TestPlatform.cpp
@@ -0,0 +1,78 @@
+#include "gateway/TestPlatform.h"
+
+#include <sstream>
+
+namespace rr {
+
+GatewaySettings testSettings() {
+  GatewaySettings Settings;
+  Settings.Name = "i0";
+  Settings.Zone = "z-a";
+  Settings.Region = "z";
+  Settings.CallerAddress = "127.0.0.1:0";
+  Settings.ReadinessAddress = "127.0.0.1:0";
+  Settings.LookupAddress = "127.0.0.1:0";
+  Settings.MetricsAddress = "127.0.0.1:0";
+  Settings.Zones = {{"z-a", "z"}, {"y-a", "y"}};
+  Settings.Headers = {"Id",        "Deadline", "Key",
+                      "Workspace", "Object",   "Expect-Server",
+                      "Stamp",     "Not-Run",  "Load"};
+  return Settings;
+}
+
+SteeringRoute testServiceRoute(const std::string &Name, RouteKind Kind) {
+  SteeringRoute Route;
+  Route.Name = Name;
+  Route.Host = "h";
+  Route.PathPrefix = "/" + Name + "/";
+  Route.Kind = Kind;
+  Route.TargetLatency = std::chrono::milliseconds(500);
+  Route.Timeout = std::chrono::seconds(2);
+  Route.MaxAttempts = 2;
+  Route.Split = {{"stock", 1}};
+  return Route;
+}
+
+PlatformCodec testCodec(const TestConfigurations &Configs) {
+  PlatformCodec Codec;
+  Codec.BackendTable = "backends";
+  Codec.OrderTable = "orders";
+  // A row holds ADDRESS ZONE STATE.
+  Codec.DecodeBackend = [](const TableRow &Row) -> Outcome<BackendRecord> {
+    std::istringstream Text(Row.Value);
+    BackendRecord Record;
+    std::string State;
+    if (!(Text >> Record.Address >> Record.Zone >> State))
+      return failure(Errc::Malformed);
+    Record.Id = Row.Key;
+    Record.Service = "stock";
+    Record.Version = "v1";
+    Record.Slots = 4;
+    Record.Draining = State == "draining";
+    return Record;
+  };
+  Codec.DecodeOrder =
+      [&Configs](const TableRow &Row) -> Outcome<OperatorOrder> {
+    if (Row.Key == "config")
+      return OperatorOrder(Configs.at(std::stoull(Row.Value)));
+    return OperatorOrder(EvacuationOrder{Row.Key});
+  };
+  Codec.EncodeMoveStatus = [](const VersionMove &Move) {
+    return TableWrite{"status", Move.Service, Move.Target, {}};
+  };
+  Codec.DecodeLookup = [](const HttpMessage &) -> Outcome<LookupQuery> {
+    return LookupQuery{"h", "z-a", "z"};
+  };
+  Codec.EncodeLookup = [](const std::vector<std::string> &Addresses,
+                          Clock::duration) {
+    HttpMessage Reply;
+    Reply.Status = 200;
+    for (const std::string &Address : Addresses)
+      Reply.Body += Address + "\n";
+    return Reply;
+  };
+  Codec.IsReadinessCall = [](const HttpMessage &) { return true; };
+  return Codec;
+}
+
+} // namespace rr
--- /dev/null
+++ b/src/features/gateway/TestPlatform.h
@@ -0,0 +1,31 @@
+#ifndef REDWINGRACK_GATEWAY_TESTPLATFORM_H
+#define REDWINGRACK_GATEWAY_TESTPLATFORM_H
+
+#include "gateway/GatewaySettings.h"
+#include "gateway/PlatformCodec.h"
+#include "steering/SteeringConfig.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace rr {
+
+/// Configurations by version.
+using TestConfigurations =
+    std::map<std::uint64_t, std::shared_ptr<const SteeringConfig>>;
+
+/// A platform for tests: the row `config` of the table `orders` names a
+/// version of \p Configs, other rows there evacuate a zone; a row of the table
+/// `backends` holds ADDRESS ZONE STATE. \p Configs outlives the codec.
+PlatformCodec testCodec(const TestConfigurations &Configs);
+
+/// Settings of the instance i0 in zone z-a of region z, at free ports.
+GatewaySettings testSettings();
+
+/// A route of host h to the service stock, for paths below /NAME/.
+SteeringRoute testServiceRoute(const std::string &Name, RouteKind Kind);
+
+} // namespace rr
+
+#endif // REDWINGRACK_GATEWAY_TESTPLATFORM_H
