--- a/src/features/steering/tst_FleetFaults.cpp
+++ b/src/features/steering/tst_FleetFaults.cpp
@@ -126,14 +126,12 @@
     Node &Item = this->Nodes[Index];
     if (Item.Name.empty())
       Item.Name = "i" + std::to_string(Index);
-    const std::string Name = Item.Name;
-    const Clock::time_point DownUntil = Item.DownUntil;
-    const Clock::time_point CutUntil = Item.CutUntil;
-    Item = Node{};
-    Item.Name = Name;
-    Item.DownUntil = DownUntil;
-    Item.CutUntil = CutUntil;
-    Item.View.emplace(Name);
+    Node Fresh;
+    Fresh.Name = Item.Name;
+    Fresh.DownUntil = Item.DownUntil;
+    Fresh.CutUntil = Item.CutUntil;
+    Fresh.View.emplace(Fresh.Name);
+    Item = std::move(Fresh);
   }
 
   void restart(std::size_t Index, Clock::duration Down) {
