--- a/src/features/gateway/SoakFleet.h
+++ b/src/features/gateway/SoakFleet.h
@@ -45,6 +45,7 @@
   double servedSince(Clock::time_point From) const;
 
 private:
+  static const std::vector<std::string> Zones;
   struct Node {
     std::string Name;
     std::string Zone;
--- a/src/features/gateway/SteeringInstance.cpp
+++ b/src/features/gateway/SteeringInstance.cpp
@@ -3,6 +3,7 @@
 #include "base/Random.h"
 #include "gateway/GatewayReplies.h"
 #include "gateway/SteeringMetrics.h"
+#include "gateway/SteeringPaces.h"
 #include "http1/MessageText.h"
 #include "logging/EventLog.h"
 #include "steering/RegionMix.h"
@@ -19,39 +20,12 @@
 
 namespace {
 
-/// Bounds how old the proof of the keys is. A call that is lost on the way is
-/// given up in time for another one before the proof ends.
-constexpr Clock::duration OrderWait = std::chrono::milliseconds(2200);
 /// Orders that were known in full this lately are enough to answer for a
 /// standby.
 constexpr Clock::duration OldestOrders = std::chrono::milliseconds(2600);
-/// Entries of backend servers change many times a second and are read
-/// together. A server that drains gets nothing more about one period later.
-constexpr Clock::duration BackendPeriod = std::chrono::milliseconds(1000);
-constexpr Clock::duration MemberPeriod = std::chrono::milliseconds(2000);
 constexpr Clock::duration AnnouncePeriod = std::chrono::milliseconds(2400);
-/// Entries of the instances in the first moments, when all of them appear and
-/// many find that they are not needed.
-constexpr Clock::duration StartPeriod = std::chrono::milliseconds(800);
-constexpr Clock::duration StartTime = std::chrono::milliseconds(2500);
-/// Both while a version moves.
-constexpr Clock::duration BusyPeriod = std::chrono::milliseconds(500);
-/// Of an instance that callers are not sent to. It looks often enough whether
-/// it is needed, and within the store's history for the rest.
-constexpr Clock::duration StandbyMemberPeriod = std::chrono::seconds(8);
-constexpr Clock::duration StandbyPeriod = std::chrono::seconds(16);
 /// A standby is ready for this long after a read.
 constexpr Clock::duration StandbyReadyTime = std::chrono::seconds(20);
-/// An instance that gets this many requests in this time is in service.
-constexpr std::size_t WakeRequests = 12;
-constexpr Clock::duration WakeWindow = std::chrono::seconds(3);
-/// After its last request an instance stays in service for this long.
-constexpr Clock::duration WakeTime = std::chrono::seconds(30);
-/// Entries that were asked for this lately are current for a request.
-constexpr Clock::duration RecentEntries = std::chrono::milliseconds(500);
-/// Longest wait for current entries.
-constexpr Clock::duration LongestCatchUp = std::chrono::milliseconds(400);
-constexpr Clock::duration CatchUpPoll = std::chrono::milliseconds(5);
 constexpr Clock::duration CatchUpRetry = std::chrono::milliseconds(300);
 constexpr Clock::duration MaintenancePeriod = std::chrono::milliseconds(250);
 constexpr std::size_t MostAddresses = 64;
@@ -220,44 +194,6 @@
                                            std::move(Cancel));
 }
 
-void SteeringInstance::noteRequest(Clock::time_point Now) {
-  if (this->Needed)
-    return;
-  // Single requests are checks of this instance.
-  this->RecentRequests.push_back(Now);
-  while (this->RecentRequests.front() + WakeWindow < Now)
-    this->RecentRequests.pop_front();
-  if (this->RecentRequests.size() < WakeRequests)
-    return;
-  this->RecentRequests.clear();
-  this->InUseUntil = Now + WakeTime;
-  this->reviewStandby(Now);
-}
-
-bool SteeringInstance::isCurrent(Clock::time_point Now) const {
-  return std::min({this->OrderTable.readStart(), this->BackendTable.readStart(),
-                   this->MemberTable.readStart()}) +
-             RecentEntries >=
-         Now;
-}
-
-asio::awaitable<void> SteeringInstance::refresh(TableWatch &Table) {
-  ++this->Refreshes;
-  co_await Table.refresh();
-  --this->Refreshes;
-}
-
-asio::awaitable<bool> SteeringInstance::catchUp() {
-  const Clock::time_point Now = Clock::now();
-  if (!this->isCurrent(Now) && this->Refreshes == 0)
-    for (TableWatch *Table :
-         {&this->OrderTable, &this->BackendTable, &this->MemberTable})
-      asio::co_spawn(this->Context, this->refresh(*Table), asio::detached);
-  while (!this->isCurrent(Now) && Clock::now() - Now < LongestCatchUp)
-    co_await sleepFor(CatchUpPoll);
-  co_return this->isCurrent(Now);
-}
-
 asio::awaitable<HttpMessage>
 SteeringInstance::answerReadiness(HttpMessage Request) {
   if (!this->Codec.IsReadinessCall(Request))
@@ -361,43 +297,6 @@
   }
 }
 
-Clock::duration SteeringInstance::joinWait() const {
-  const Clock::duration Wait = this->State.Tenure.joinsAt() - bootTime();
-  return Wait > Clock::duration::zero() ? Wait : Clock::duration::max();
-}
-
-void SteeringInstance::applyPace(bool Busy) {
-  if (this->State.Standby) {
-    this->OrderTable.setPace(Clock::duration{0}, StandbyPeriod);
-    this->BackendTable.setPace(BackendPeriod, StandbyPeriod);
-    this->MemberTable.setPace(MemberPeriod, StandbyMemberPeriod);
-    this->Members.setReadPeriod(StandbyMemberPeriod);
-    return;
-  }
-  Clock::duration Period = Busy ? BusyPeriod : MemberPeriod;
-  if (!Busy && Clock::now() - this->StartedAt < StartTime)
-    Period = StartPeriod;
-  this->OrderTable.setPace(OrderWait, Clock::duration{0});
-  this->BackendTable.setPace(BackendPeriod, BackendPeriod);
-  this->MemberTable.setPace(Period, Period);
-  // Those who read in its place may be at the longer one.
-  this->Members.setReadPeriod(MemberPeriod);
-}
-
-void SteeringInstance::reviewStandby(Clock::time_point Now) {
-  this->Needed = this->State.MembersKnown &&
-                 this->State.Members.isActive(this->Members.ownRecord());
-  const bool Standby =
-      this->State.MembersKnown && Now >= this->InUseUntil && !this->Needed;
-  if (Standby == this->State.Standby)
-    return;
-  this->State.Standby = Standby;
-  logEvent(Standby ? Event::StandbyBegun : Event::StandbyEnded);
-  this->applyPace(this->Moves.isBusy());
-  // The others learn of it at once.
-  this->AnnounceTimer.cancel();
-}
-
 asio::awaitable<void> SteeringInstance::maintain() {
   while (!this->Stopped) {
     const Clock::time_point Now = Clock::now();
--- /dev/null
+++ b/src/features/gateway/tst_Standby.cpp
@@ -0,0 +1,282 @@
+#include "gateway/MemberCodec.h"
+#include "gateway/StandbyForwarder.h"
+#include "gateway/TwoServerBed.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rr;
+using namespace std::chrono_literals;
+
+using Bed = TwoServerBed;
+
+namespace {
+
+/// An instance that is small beside two others of its zone, which cannot be
+/// reached unless the test puts something at their address.
+struct StandbyBed : Bed {
+  StandbyBed() : Bed(0.1) {
+    this->putLarge();
+    this->start();
+    for (int Second = 0; Second < 6; ++Second) {
+      this->advance(1s);
+      this->putLarge();
+    }
+  }
+
+  void putLarge() {
+    for (const char *Name : {"large1", "large2"}) {
+      MemberRecord Large;
+      Large.Name = Name;
+      Large.Zone = "z-a";
+      Large.Region = "z";
+      Large.Address = this->LargeAddress;
+      Large.Capacity = 0.5;
+      Large.WrittenAt = Clock::now().time_since_epoch();
+      this->Tables.put("redwingrack", std::string("instance/") + Name,
+                       encodeMember(Large));
+    }
+  }
+
+  std::string LargeAddress = "127.0.0.1:1";
+};
+
+} // namespace
+
+TEST_CASE("A standby that gets a request reads the entries first, so that a "
+          "server that has begun to drain gets nothing",
+          "[standby]") {
+  StandbyBed B;
+  REQUIRE(B.Instance->state().Standby);
+  CHECK(B.Instance->isReady());
+  for (const char *Id : {"b1", "b2"})
+    B.putBackend(Id, "z-a", true);
+  B.advance(200ms);
+  REQUIRE_FALSE(B.Instance->state().Backends.find("b1")->Record.Draining);
+  CHECK(hasStatus(B.request("GET", "/safe/x"), 503));
+  CHECK(B.arrivals() == 0);
+  CHECK(B.Instance->state().Backends.find("b1")->Record.Draining);
+}
+
+TEST_CASE("A standby passes a request on to an instance in service and reads "
+          "nothing for it",
+          "[standby]") {
+  StandbyBed B;
+  std::vector<HttpMessage> Received;
+  HttpServer Large(B.Context,
+                   [&](HttpMessage Request, const CancellationPtr &)
+                       -> asio::awaitable<HttpMessage> {
+                     Received.push_back(Request);
+                     HttpMessage Reply = Bed::goodAnswer(Request);
+                     Reply.Body = "passed on";
+                     co_return Reply;
+                   });
+  REQUIRE(Large.listen("127.0.0.1:0"));
+  B.LargeAddress = "127.0.0.1:" + std::to_string(Large.port());
+  for (int Second = 0; Second < 10; ++Second) {
+    B.putLarge();
+    B.advance(1s);
+  }
+  const int Before = B.Tables.Calls;
+  const std::string Answer = B.request("POST", "/order/x");
+  CHECK(hasStatus(Answer, 200));
+  CHECK(Answer.find("passed on") != std::string::npos);
+  REQUIRE(Received.size() == 1);
+  // The key is checked where the request is served.
+  CHECK(findHeader(Received[0].Headers, "Key"));
+  CHECK(B.Tables.Calls - Before <= 1);
+  CHECK(B.arrivals() == 0);
+}
+
+TEST_CASE("An instance that has lost the store does not answer for a standby, "
+          "which reads the store itself then",
+          "[standby]") {
+  StandbyBed B;
+  int Asked = 0;
+  HttpServer Large(B.Context,
+                   [&](HttpMessage Request, const CancellationPtr &)
+                       -> asio::awaitable<HttpMessage> {
+                     ++Asked;
+                     CHECK(StandbyForwarder::takeMark(Request));
+                     co_return StandbyForwarder::declined();
+                   });
+  REQUIRE(Large.listen("127.0.0.1:0"));
+  B.LargeAddress = "127.0.0.1:" + std::to_string(Large.port());
+  for (int Second = 0; Second < 10; ++Second) {
+    B.putLarge();
+    B.advance(1s);
+  }
+  B.configure(7, {"newkey"});
+  CHECK(hasStatus(B.request("GET", "/safe/x", "newkey"), 200));
+  CHECK(Asked == 2);
+}
+
+TEST_CASE("A forwarded request is served with current orders only, and its "
+          "mark does not reach the server",
+          "[standby]") {
+  Bed B;
+  B.start();
+  B.advance(1s);
+  const auto Ask = [&B] {
+    LoopbackPeer Peer(B.Context, B.Instance->callerPort());
+    Peer.send("GET /open/x HTTP/1.1\r\nHost: h\r\nId: 77\r\n"
+              "Redwingrack-Forwarded: 1\r\nConnection: close\r\n\r\n");
+    for (int Step = 0; Step < 100 && !Peer.Ended; ++Step)
+      B.advance(10ms);
+    return Peer.Received;
+  };
+  CHECK(hasStatus(Ask(), 200));
+  for (const auto &Item : B.Backends)
+    for (const HttpMessage &Request : Item.second.Requests)
+      CHECK_FALSE(findHeader(Request.Headers, "Redwingrack-Forwarded"));
+  B.Tables.Down = true;
+  B.advance(4s);
+  CHECK(hasStatus(Ask(), 503));
+  CHECK(hasStatus(B.request("GET", "/open/x"), 200));
+}
+
+// Guards against an answer by an old configuration in the moment in which a
+// standby goes into service.
+TEST_CASE("An instance that has just left standby reads the orders first",
+          "[standby]") {
+  StandbyBed B;
+  B.advance(6s);
+  B.configure(7, {"newkey"});
+  // The large ones have gone, and this one finds it out by itself.
+  for (int Step = 0; Step < 2000 && B.Instance->state().Standby; ++Step)
+    B.advance(10ms);
+  REQUIRE_FALSE(B.Instance->state().Standby);
+  CHECK(hasStatus(B.request("GET", "/open/x"), 200));
+  CHECK(B.Instance->state().Config->Version == 7);
+}
+
+TEST_CASE("An instance that the store turns away passes requests on to one "
+          "that it serves",
+          "[standby]") {
+  Bed B;
+  int Served = 0;
+  HttpServer Other(B.Context,
+                   [&](HttpMessage Request, const CancellationPtr &)
+                       -> asio::awaitable<HttpMessage> {
+                     ++Served;
+                     co_return Bed::goodAnswer(Request);
+                   });
+  REQUIRE(Other.listen("127.0.0.1:0"));
+  MemberRecord Record;
+  Record.Name = "other";
+  Record.Zone = "z-a";
+  Record.Region = "z";
+  Record.Address = "127.0.0.1:" + std::to_string(Other.port());
+  const auto Put = [&] {
+    Record.WrittenAt = Clock::now().time_since_epoch();
+    B.Tables.put("redwingrack", "instance/other", encodeMember(Record));
+  };
+  Put();
+  B.start();
+  for (int Second = 0; Second < 4; ++Second) {
+    B.advance(1s);
+    Put();
+  }
+  B.advance(1s);
+  CHECK(hasStatus(B.request("GET", "/safe/x"), 200));
+  CHECK(Served == 0);
+  B.Tables.Down = true;
+  B.advance(6s);
+  CHECK(hasStatus(B.request("GET", "/safe/x"), 200));
+  CHECK(Served == 1);
+}
+
+TEST_CASE("A standby serves with the newest configuration, and removes servers "
+          "that left while it did not look",
+          "[standby]") {
+  StandbyBed B;
+  B.advance(8s);
+  B.configure(7, {"newkey"});
+  B.Tables.erase("backends", "b1");
+  B.advance(100ms);
+  REQUIRE(B.Instance->state().Config->Version != 7);
+  CHECK(hasStatus(B.request("GET", "/safe/x", "newkey"), 200));
+  CHECK(hasStatus(B.request("GET", "/safe/x", "key"), 401));
+  CHECK(B.Backends.at("b1").Requests.empty());
+}
+
+TEST_CASE("A standby that cannot read the store refuses, since its entries are "
+          "old",
+          "[standby]") {
+  StandbyBed B;
+  B.Tables.Down = true;
+  B.advance(1s);
+  CHECK(hasStatus(B.request("GET", "/open/x"), 503));
+  CHECK(B.arrivals() == 0);
+  B.Tables.Down = false;
+  CHECK(hasStatus(B.request("GET", "/open/x"), 200));
+}
+
+TEST_CASE("A few requests do not take a standby into service, many do",
+          "[standby]") {
+  StandbyBed B;
+  const int Before = B.Tables.Calls;
+  for (int Request = 0; Request < 4; ++Request) {
+    CHECK(hasStatus(B.request("GET", "/open/x"), 200));
+    B.advance(1s);
+  }
+  CHECK(B.Instance->state().Standby);
+  // Three reads for each request and few others.
+  CHECK(B.Tables.Calls - Before <= 4 * 3 + 4);
+  for (int Request = 0; Request < 14; ++Request)
+    CHECK(hasStatus(B.request("GET", "/open/x"), 200));
+  CHECK_FALSE(B.Instance->state().Standby);
+  // The others count on it in the workspaces' rates a moment later.
+  for (int Second = 0; Second < 3; ++Second) {
+    B.putLarge();
+    B.advance(1s);
+  }
+  CHECK(B.Instance->isReady());
+  CHECK(hasStatus(B.request("GET", "/safe/x"), 200));
+}
+
+// Guards against a rate that is used by an instance and by those that have
+// taken its part.
+TEST_CASE("An instance that cannot renew its row stops using the rates before "
+          "the others take its part",
+          "[tenure]") {
+  Bed B;
+  B.start();
+  B.configure(2, {"key"}, 100);
+  B.advance(2s);
+  CHECK(hasStatus(B.request("GET", "/safe/x"), 200));
+  B.Tables.RefuseWrites = true;
+  B.advance(5s);
+  CHECK_FALSE(B.Instance->isReady());
+  CHECK(hasStatus(B.request("GET", "/safe/x"), 503));
+  CHECK(hasStatus(B.request("GET", "/open/x"), 200));
+  B.Tables.RefuseWrites = false;
+  B.advance(3s);
+  CHECK(B.Instance->isReady());
+}
+
+TEST_CASE("A new instance beside others that serve is named to callers when "
+          "they count on it",
+          "[tenure]") {
+  Bed B;
+  const auto PutOther = [&B] {
+    MemberRecord Other;
+    Other.Name = "other";
+    Other.Zone = "z-a";
+    Other.Region = "z";
+    Other.Address = "127.0.0.1:1";
+    Other.WrittenAt = Clock::now().time_since_epoch();
+    B.Tables.put("redwingrack", "instance/other", encodeMember(Other));
+  };
+  PutOther();
+  B.start();
+  B.advance(500ms);
+  const std::string *Row = B.Tables.find("redwingrack", "instance/i0");
+  REQUIRE(Row);
+  CHECK(decodeMember(*Row)->Joining);
+  CHECK_FALSE(B.Instance->isReady());
+  PutOther();
+  B.advance(2200ms);
+  Row = B.Tables.find("redwingrack", "instance/i0");
+  CHECK_FALSE(decodeMember(*Row)->Joining);
+  CHECK(B.Instance->isReady());
+}
