--- /dev/null
+++ b/src/features/steering/tst_ExposureFaults.cpp
@@ -0,0 +1,190 @@
+#include "steering/MoveRule.h"
+#include "steering/VersionSteering.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <random>
+#include <vector>
+
+using namespace rr;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Clock::duration Step = 10ms;
+constexpr Clock::duration TablePeriod = 500ms;
+/// An instance counts again this long after its fault.
+constexpr Clock::duration ContactTime = 4s;
+const VersionOrder Order{"stock", "v2", 16s};
+
+/// How the new version fails.
+struct Defect {
+  double FailurePart = 0;
+  /// From the order on it is good for this long.
+  Clock::duration Healthy{0};
+};
+
+/// Instances that move one service to a bad version, and meet through rows,
+/// while some are cut from the store, restarted or stand still.
+class MovingFleet {
+public:
+  MovingFleet(unsigned Seed, std::size_t Size, Defect Fault)
+      : Random(Seed), Fault(Fault), Nodes(Size) {
+    Clock::pause();
+    this->Begin = Clock::now();
+    for (std::size_t Index = 0; Index < Size; ++Index) {
+      this->Nodes[Index].Name = "i" + std::to_string(Index);
+      this->begin(this->Nodes[Index]);
+    }
+  }
+  ~MovingFleet() { Clock::resume(); }
+
+  void step() {
+    Clock::advance(Step);
+    for (Node &Item : this->Nodes)
+      this->stepNode(Item);
+    // Two requests in ten milliseconds, anywhere.
+    for (int Index = 0; Index < 2; ++Index)
+      this->request(this->Nodes[std::uniform_int_distribution<std::size_t>(
+          0, this->Nodes.size() - 1)(this->Random)]);
+  }
+
+  void breakSomething() {
+    Node &Item = this->Nodes[std::uniform_int_distribution<std::size_t>(
+        0, this->Nodes.size() - 1)(this->Random)];
+    const auto Time = std::chrono::milliseconds(
+        std::uniform_int_distribution<>(500, 6000)(this->Random));
+    const Clock::time_point Now = Clock::now();
+    switch (std::uniform_int_distribution<>(0, 2)(this->Random)) {
+    case 0:
+      Item.CutUntil = Now + Time;
+      break;
+    case 1:
+      Item.PausedUntil = Now + Time;
+      break;
+    default:
+      Item.Versions = VersionSteering();
+      this->begin(Item);
+      Item.NextTable = Now + 300ms;
+      break;
+    }
+    Item.TroubleUntil = std::max({Now, Item.CutUntil, Item.PausedUntil});
+  }
+
+  int All = 0;
+  int Exposed = 0;
+  /// Requests to the new version long after it was known to be bad.
+  int Late = 0;
+
+private:
+  struct Node {
+    std::string Name;
+    VersionSteering Versions;
+    Clock::time_point NextTable{};
+    Clock::time_point CutUntil{};
+    Clock::time_point PausedUntil{};
+    Clock::time_point TroubleUntil{};
+  };
+
+  void begin(Node &Item) {
+    Item.Versions.notePresent({"v1"}, Clock::now());
+    Item.Versions.order(Order, {"v1", "v2"});
+  }
+
+  bool isInTouch(const Node &Item) const {
+    return Clock::now() >= Item.TroubleUntil + ContactTime;
+  }
+
+  void stepNode(Node &Item) {
+    const Clock::time_point Now = Clock::now();
+    if (Now < Item.PausedUntil || Now < Item.CutUntil || Now < Item.NextTable)
+      return;
+    Item.NextTable = Now + TablePeriod;
+    if (this->Move)
+      Item.Versions.adopt(*this->Move);
+    for (const auto &[Name, Report] : this->Reports)
+      if (Name != Item.Name)
+        Item.Versions.observe(Name, Report, Now);
+    if (const auto Own = Item.Versions.report())
+      this->Reports[Item.Name] = *Own;
+    this->advance(Item);
+  }
+
+  void advance(const Node &Item) {
+    const Clock::duration StoreTime = Clock::now() - this->Begin;
+    const bool Leads = &Item == &this->Nodes.front();
+    if (!this->Move) {
+      if (Leads)
+        this->Move = beginMove(Order, std::nullopt, {"v1", "v2"}, StoreTime);
+      return;
+    }
+    if (this->Move->State != VersionMove::Phase::Running ||
+        (!Leads && !Item.Versions.isStopped()))
+      return;
+    MoveEvidence Evidence;
+    Evidence.Bad = Item.Versions.isStopped();
+    Evidence.Suspect = Item.Versions.isSuspect();
+    Evidence.TargetRequests = Item.Versions.candidateRequests();
+    Evidence.ReadyServers = 4;
+    Evidence.StoreTime = StoreTime;
+    for (const auto &Entry : this->Reports)
+      Evidence.Reports.push_back(Entry.second);
+    if (const auto Next = advanceMove(*this->Move, Evidence))
+      this->Move = *Next;
+  }
+
+  void request(Node &Item) {
+    const Clock::time_point Now = Clock::now();
+    if (Now < Item.PausedUntil)
+      return;
+    ++this->All;
+    const auto Choice = Item.Versions.choose("a", Now);
+    const bool New = Choice.Only == "v2";
+    const double Part = New && Now >= this->Begin + this->Fault.Healthy
+                            ? this->Fault.FailurePart
+                            : 0.001;
+    const bool Failed = std::uniform_real_distribution<>()(this->Random) < Part;
+    Item.Versions.record("a", New ? "v2" : "v1", Failed, false, Now);
+    if (!New || !this->isInTouch(Item))
+      return;
+    ++this->Exposed;
+    if (this->KnownBadAt && Now > *this->KnownBadAt + 5s)
+      ++this->Late;
+    this->BadAnswers += Failed ? 1 : 0;
+    if (this->BadAnswers >= 50 && !this->KnownBadAt)
+      this->KnownBadAt = Now;
+  }
+
+  std::mt19937 Random;
+  Defect Fault;
+  std::vector<Node> Nodes;
+  Clock::time_point Begin;
+  std::optional<VersionMove> Move;
+  std::map<std::string, MoveReport> Reports;
+  int BadAnswers = 0;
+  std::optional<Clock::time_point> KnownBadAt;
+};
+
+} // namespace
+
+// Guards against a bad version that gets more than its share of a service's
+// requests from instances in touch, because the counts are spread over them
+// or some of them have missed that it was taken back.
+TEST_CASE("A bad version is not exposed while instances are cut off, restarted "
+          "and paused",
+          "[faults]") {
+  const unsigned Seed = GENERATE(range(1U, 31U));
+  const std::size_t Size = GENERATE(3U, 12U);
+  const Defect Fault =
+      GENERATE(Defect{0.25, 0s}, Defect{1, 0s}, Defect{0.5, 6s});
+  MovingFleet Fleet(Seed, Size, Fault);
+  for (int Index = 0; Index < 1600; ++Index) {
+    Fleet.step();
+    if (Index % 250 == 249)
+      Fleet.breakSomething();
+  }
+  CAPTURE(Seed, Size, Fault.FailurePart, Fleet.All, Fleet.Exposed, Fleet.Late);
+  CHECK(Fleet.Exposed <= Fleet.All / 10 + 50);
+  CHECK(Fleet.Late == 0);
+}
