--- a/src/features/gateway/InstanceTestBed.cpp
+++ b/src/features/gateway/InstanceTestBed.cpp
@@ -64,23 +64,8 @@
 
 void InstanceTestBed::configure(std::uint64_t Version,
                                 std::vector<std::string> Keys, double Rate) {
-  auto Config = std::make_shared<SteeringConfig>();
-  Config->Version = Version;
-  SteeringRoute Open = testServiceRoute("open", RouteKind::Safe);
-  Open.AllowAnonymous = true;
-  Config->RoutesByHost["h"] = {testServiceRoute("safe", RouteKind::Safe),
-                               testServiceRoute("order", RouteKind::Unsafe),
-                               Open};
-  Config->Services["stock"] = {"stock", 100, 10};
-  SteeringWorkspace Workspace;
-  Workspace.Name = "w";
-  Workspace.Rate = Rate;
-  Workspace.Burst = Rate;
-  Config->Workspaces.push_back(Workspace);
-  Config->NeedsKeys = true;
-  for (const std::string &Key : Keys)
-    Config->KeyOwners[Key] = 0;
-  this->Configs[Version] = Config;
+  this->Configs[Version] =
+      testConfiguration(Version, {Keys.begin(), Keys.end()}, Rate, Rate);
   this->Tables.put("orders", "config", std::to_string(Version));
 }
 
--- a/src/features/gateway/SoakFleet.cpp
+++ b/src/features/gateway/SoakFleet.cpp
@@ -176,24 +176,9 @@
 }
 
 void SoakFleet::configure() {
-  auto Config = std::make_shared<SteeringConfig>();
-  Config->Version = ++this->ConfigVersion;
-  SteeringRoute Open = testServiceRoute("open", RouteKind::Safe);
-  Open.AllowAnonymous = true;
-  Config->RoutesByHost["h"] = {testServiceRoute("safe", RouteKind::Safe),
-                               testServiceRoute("order", RouteKind::Unsafe),
-                               Open};
-  Config->Services["stock"] = {"stock", 100, 10};
-  SteeringWorkspace Workspace;
-  Workspace.Name = "w";
-  Workspace.Rate = Rate;
-  Workspace.Burst = Burst;
-  Config->Workspaces.push_back(Workspace);
-  Config->NeedsKeys = true;
-  for (const std::string &Key : this->Keys)
-    Config->KeyOwners[Key] = 0;
-  this->Configs[this->ConfigVersion] = Config;
-  this->Tables.put("orders", "config", std::to_string(this->ConfigVersion));
+  const std::uint64_t Version = ++this->ConfigVersion;
+  this->Configs[Version] = testConfiguration(Version, this->Keys, Rate, Burst);
+  this->Tables.put("orders", "config", std::to_string(Version));
 }
 
 void SoakFleet::noteRun(const std::string &Id, const HttpMessage &Message) {
--- a/src/features/gateway/TestPlatform.cpp
+++ b/src/features/gateway/TestPlatform.cpp
@@ -4,6 +4,23 @@
 
 namespace rr {
 
+namespace {
+
+SteeringRoute testServiceRoute(const std::string &Name, RouteKind Kind) {
+  SteeringRoute Route;
+  Route.Name = Name;
+  Route.Host = "h";
+  Route.PathPrefix = "/" + Name + "/";
+  Route.Kind = Kind;
+  Route.TargetLatency = std::chrono::milliseconds(500);
+  Route.Timeout = std::chrono::seconds(2);
+  Route.MaxAttempts = 2;
+  Route.Split = {{"stock", 1}};
+  return Route;
+}
+
+} // namespace
+
 GatewaySettings testSettings() {
   GatewaySettings Settings;
   Settings.Name = "i0";
@@ -20,17 +37,26 @@
   return Settings;
 }
 
-SteeringRoute testServiceRoute(const std::string &Name, RouteKind Kind) {
-  SteeringRoute Route;
-  Route.Name = Name;
-  Route.Host = "h";
-  Route.PathPrefix = "/" + Name + "/";
-  Route.Kind = Kind;
-  Route.TargetLatency = std::chrono::milliseconds(500);
-  Route.Timeout = std::chrono::seconds(2);
-  Route.MaxAttempts = 2;
-  Route.Split = {{"stock", 1}};
-  return Route;
+std::shared_ptr<const SteeringConfig>
+testConfiguration(std::uint64_t Version, const std::set<std::string> &Keys,
+                  double Rate, double Burst) {
+  auto Config = std::make_shared<SteeringConfig>();
+  Config->Version = Version;
+  SteeringRoute Open = testServiceRoute("open", RouteKind::Safe);
+  Open.AllowAnonymous = true;
+  Config->RoutesByHost["h"] = {testServiceRoute("safe", RouteKind::Safe),
+                               testServiceRoute("order", RouteKind::Unsafe),
+                               Open};
+  Config->Services["stock"] = {"stock", 100, 10};
+  SteeringWorkspace Workspace;
+  Workspace.Name = "w";
+  Workspace.Rate = Rate;
+  Workspace.Burst = Burst;
+  Config->Workspaces.push_back(Workspace);
+  Config->NeedsKeys = true;
+  for (const std::string &Key : Keys)
+    Config->KeyOwners[Key] = 0;
+  return Config;
 }
 
 PlatformCodec testCodec(const TestConfigurations &Configs) {
--- a/src/features/gateway/TestPlatform.h
+++ b/src/features/gateway/TestPlatform.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace rr {
@@ -23,8 +24,12 @@
 /// Settings of the instance i0 in zone z-a of region z, at free ports.
 GatewaySettings testSettings();
 
-/// A route of host h to the service stock, for paths below /NAME/.
-SteeringRoute testServiceRoute(const std::string &Name, RouteKind Kind);
+/// Routes of host h to the service stock: a safe one below /safe/, an unsafe
+/// one below /order/ and one without a key below /open/. All \p Keys are of
+/// the workspace w.
+std::shared_ptr<const SteeringConfig>
+testConfiguration(std::uint64_t Version, const std::set<std::string> &Keys,
+                  double Rate, double Burst);
 
 } // namespace rr
 
