Let rows of an earlier version of the program count, so that a fleet can be upgraded one by one

Missing fields now have the values that the old program means. Test: tst_gateway [tenure], "A row of an earlier version of the program counts"; it fails without the change (decodeMember() gives Errc::Malformed).

--- a/src/features/gateway/GatewayAttempt.h
+++ b/src/features/gateway/GatewayAttempt.h
@@ -15,8 +15,6 @@
   AttemptResult Result = AttemptResult::Unreachable;
   ExchangeResult Exchange;
   Clock::duration Time{0};
-  /// The server had no queue when it answered.
-  bool Unloaded = false;
 };
 
 /// What was tried for one request so far.
--- a/src/features/gateway/MemberCodec.cpp
+++ b/src/features/gateway/MemberCodec.cpp
@@ -13,6 +13,15 @@
       std::chrono::duration<double>(Value.at(Key).get<double>()));
 }
 
+/// Fields that instances of an earlier version of the program do not write.
+/// While a fleet is upgraded one by one their rows must count.
+void readAdded(const json &Value, MemberRecord &Record) {
+  Record.PeerAddress = Value.value("peers", "");
+  Record.Joining = Value.value("joining", false);
+  if (Value.contains("contact_since"))
+    Record.ContactSince = secondsAt(Value, "contact_since");
+}
+
 } // namespace
 
 std::string encodeMember(const MemberRecord &Record) {
@@ -48,15 +57,13 @@
     Value.at("zone").get_to(Record.Zone);
     Value.at("region").get_to(Record.Region);
     Value.at("lookups").get_to(Record.LookupAddress);
-    Value.at("peers").get_to(Record.PeerAddress);
     Value.at("capacity").get_to(Record.Capacity);
     Value.at("standby").get_to(Record.Standby);
-    Value.at("joining").get_to(Record.Joining);
     Record.WrittenAt = secondsAt(Value, "written_at");
-    Record.ContactSince = secondsAt(Value, "contact_since");
     Value.at("leaving").get_to(Record.Leaving);
     Value.at("demand").get_to(Record.Demand);
     Value.at("rollouts").get_to(Record.Rollouts);
+    readAdded(Value, Record);
     return Record;
   } catch (const json::exception &) {
     return failure(Errc::Malformed);
--- a/src/features/gateway/tst_Standby.cpp
+++ b/src/features/gateway/tst_Standby.cpp
@@ -280,3 +280,18 @@
   CHECK_FALSE(decodeMember(*Row)->Joining);
   CHECK(B.Instance->isReady());
 }
+
+// Guards against instances of two versions that do not see each other, and
+// divide the rates among themselves only, while a fleet is upgraded.
+TEST_CASE("A row of an earlier version of the program counts", "[tenure]") {
+  const auto Record = decodeMember(
+      R"({"name":"old","incarnation":"a","address":"127.0.0.1:1","zone":"z-a",
+          "region":"z","lookups":"","capacity":0.2,"standby":false,
+          "written_at":12.5,"leaving":false,"demand":{"w":3},"rollouts":{}})");
+  REQUIRE(Record);
+  CHECK(Record->PeerAddress.empty());
+  CHECK_FALSE(Record->Joining);
+  CHECK(Record->ContactSince == Clock::duration{0});
+  CHECK(decodeMember(encodeMember(*Record))->Demand.at("w") == 3);
+  CHECK_FALSE(decodeMember("{}"));
+}
