Let each stage of a roll-out outlast a slow answer, so that a slow version is known before the next one

The version was slow: its answers, most of them timeouts after up to 2.5 s, came after the stages that had sent the requests. 15 and 35% lasted 1.3 s each, so all of the traffic went to it from 15.0 to 17.1 s, when the timeouts of the stage before had just come. Instances that were cut off or restarted had nothing to do with it: the log shows the share of all at 100%.

Change: 5, 15, 25 and 100% for 22, 13, 13 and 8% of the time, the middle ones for 2.5 s at least.

Ruled out: advancing only with more answers (15 had come), a lower bound on suspicion (the old version is slow at times too).

--- a/src/features/steering/MoveRule.cpp
+++ b/src/features/steering/MoveRule.cpp
@@ -15,11 +15,12 @@
 };
 
 /// The first stages are short of a tenth of the traffic together, so that a
-/// bad version that shows late has had few requests.
+/// bad version that shows late has had few requests. The later ones last as
+/// long as a slow answer takes, so that it is known before the next one.
 constexpr std::array Stages = {
-    Stage{0.05, 0.30, std::chrono::milliseconds(3000)},
-    Stage{0.15, 0.08, std::chrono::milliseconds(1000)},
-    Stage{0.35, 0.08, std::chrono::milliseconds(1000)},
+    Stage{0.05, 0.22, std::chrono::milliseconds(3000)},
+    Stage{0.15, 0.13, std::chrono::milliseconds(2500)},
+    Stage{0.25, 0.13, std::chrono::milliseconds(2500)},
     Stage{1.0, 0.08, std::chrono::milliseconds(1400)},
 };
 /// Answers of the target before its share grows beyond the first stage.
--- a/src/features/steering/tst_ExposureFaults.cpp
+++ b/src/features/steering/tst_ExposureFaults.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <deque>
 #include <map>
 #include <random>
 #include <vector>
@@ -23,6 +24,8 @@
   double FailurePart = 0;
   /// From the order on it is good for this long.
   Clock::duration Healthy{0};
+  /// A failure shows after this time, as it does for a slow version.
+  Clock::duration FailureTime{0};
 };
 
 /// Instances that move one service to a bad version, and meet through rows,
@@ -42,6 +45,10 @@
 
   void step() {
     Clock::advance(Step);
+    while (!this->Running.empty() && this->Running.front().At <= Clock::now()) {
+      this->endRequest(this->Running.front());
+      this->Running.pop_front();
+    }
     for (Node &Item : this->Nodes)
       this->stepNode(Item);
     // Two requests in ten milliseconds, anywhere.
@@ -92,6 +99,21 @@
     Item.Versions.order(Order, {"v1", "v2"});
   }
 
+  struct Result {
+    Clock::time_point At;
+    Node *Where;
+    bool New;
+    bool Failed;
+  };
+
+  void endRequest(const Result &End) {
+    End.Where->Versions.record("a", End.New ? "v2" : "v1", End.Failed, false,
+                               Clock::now());
+    this->BadAnswers += End.New && End.Failed ? 1 : 0;
+    if (this->BadAnswers >= 50 && !this->KnownBadAt)
+      this->KnownBadAt = Clock::now();
+  }
+
   bool isInTouch(const Node &Item) const {
     return Clock::now() >= Item.TroubleUntil + ContactTime;
   }
@@ -145,15 +167,16 @@
                             ? this->Fault.FailurePart
                             : 0.001;
     const bool Failed = std::uniform_real_distribution<>()(this->Random) < Part;
-    Item.Versions.record("a", New ? "v2" : "v1", Failed, false, Now);
-    if (!New || !this->isInTouch(Item))
-      return;
-    ++this->Exposed;
-    if (this->KnownBadAt && Now > *this->KnownBadAt + 5s)
-      ++this->Late;
-    this->BadAnswers += Failed ? 1 : 0;
-    if (this->BadAnswers >= 50 && !this->KnownBadAt)
-      this->KnownBadAt = Now;
+    if (New && this->isInTouch(Item)) {
+      ++this->Exposed;
+      if (this->KnownBadAt && Now > *this->KnownBadAt + 5s)
+        ++this->Late;
+    }
+    const Result End{Now + this->Fault.FailureTime, &Item, New, Failed};
+    if (Failed && New && this->Fault.FailureTime > Clock::duration::zero())
+      this->Running.push_back(End);
+    else
+      this->endRequest(End);
   }
 
   std::mt19937 Random;
@@ -162,6 +185,7 @@
   Clock::time_point Begin;
   std::optional<VersionMove> Move;
   std::map<std::string, MoveReport> Reports;
+  std::deque<Result> Running;
   int BadAnswers = 0;
   std::optional<Clock::time_point> KnownBadAt;
 };
@@ -177,7 +201,8 @@
   const unsigned Seed = GENERATE(range(1U, 31U));
   const std::size_t Size = GENERATE(3U, 12U);
   const Defect Fault =
-      GENERATE(Defect{0.25, 0s}, Defect{1, 0s}, Defect{0.5, 6s});
+      GENERATE(Defect{0.25, 0s, 0s}, Defect{1, 0s, 0s}, Defect{0.5, 6s, 0s},
+               Defect{0.3, 0s, 2500ms}, Defect{0.5, 6s, 2500ms});
   MovingFleet Fleet(Seed, Size, Fault);
   for (int Index = 0; Index < 1600; ++Index) {
     Fleet.step();
