Do not let a standby go back to an older configuration through another instance

The first check it served itself, the second went to an instance in service that had not got the new version yet, and whose orders were not old enough to decline.

Change: a forwarded request names the newest version by which requests to this instance were answered; an instance that knows an older one declines, and says in its answer which one it used.

Test: tst_gateway [standby], "A standby does not go back ..."; fails when the version in answers is not noted.

--- a/src/features/gateway/StandbyForwarder.cpp
+++ b/src/features/gateway/StandbyForwarder.cpp
@@ -6,6 +6,7 @@
 #include "http1/MessageText.h"
 
 #include <algorithm>
+#include <charconv>
 #include <vector>
 
 namespace rr {
@@ -26,11 +27,20 @@
 /// is on the way then.
 constexpr Clock::duration AnswerMargin = std::chrono::milliseconds(100);
 constexpr std::size_t LargestAnswer = 64U << 20;
-/// In requests that a standby forwards.
+/// In requests that a standby forwards: the version of the configuration that
+/// must be known.
 const std::string ForwardedName = "Redwingrack-Forwarded";
+/// In answers to them: the version of the configuration that was used.
+const std::string VersionName = "Redwingrack-Configuration";
 /// In the answer of an instance that does not serve such a request.
 const std::string DeclinedName = "Redwingrack-Declined";
 
+std::uint64_t versionOf(const std::string &Text) {
+  std::uint64_t Version = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Version);
+  return Version;
+}
+
 } // namespace
 
 StandbyForwarder::StandbyForwarder(asio::io_context &Io,
@@ -67,10 +77,29 @@
   return Able;
 }
 
-bool StandbyForwarder::takeMark(HttpMessage &Request) {
-  return std::erase_if(Request.Headers, [](const HttpHeader &Field) {
-           return equalIgnoreCase(Field.Name, ForwardedName);
-         }) > 0;
+std::optional<std::uint64_t> StandbyForwarder::takeMark(HttpMessage &Request) {
+  const std::string *Mark = findHeader(Request.Headers, ForwardedName);
+  if (!Mark)
+    return std::nullopt;
+  const std::uint64_t Version = versionOf(*Mark);
+  std::erase_if(Request.Headers, [](const HttpHeader &Field) {
+    return equalIgnoreCase(Field.Name, ForwardedName);
+  });
+  return Version;
+}
+
+void StandbyForwarder::addVersion(HttpMessage &Answer, std::uint64_t Version) {
+  Answer.Headers.push_back({VersionName, std::to_string(Version)});
+}
+
+void StandbyForwarder::noteVersion(HttpMessage &Answer) {
+  const std::string *Field = findHeader(Answer.Headers, VersionName);
+  if (!Field)
+    return;
+  this->SeenVersion = std::max(this->SeenVersion, versionOf(*Field));
+  std::erase_if(Answer.Headers, [](const HttpHeader &Item) {
+    return equalIgnoreCase(Item.Name, VersionName);
+  });
 }
 
 HttpMessage StandbyForwarder::declined() {
@@ -84,7 +113,10 @@
   const Clock::time_point Start = Clock::now();
   const Clock::time_point Limit = Start + this->timeFor(Request);
   removeHopByHopHeaders(Request.Headers);
-  Request.Headers.push_back({ForwardedName, "1"});
+  if (this->State.Config)
+    this->SeenVersion =
+        std::max(this->SeenVersion, this->State.Config->Version);
+  Request.Headers.push_back({ForwardedName, std::to_string(this->SeenVersion)});
   const std::vector<std::string> Able = this->candidates(Start);
   for (std::size_t I = 0; I < std::min(MostTried, Able.size()); ++I) {
     const std::string &Address = Able[I];
@@ -100,6 +132,7 @@
         this->AvoidedUntil[Address] = Clock::now() + AvoidTime;
         continue;
       }
+      this->noteVersion(Result.Answer);
       removeHopByHopHeaders(Result.Answer.Headers);
       Result.Answer.KeepAlive = true;
       co_return std::move(Result.Answer);
--- a/src/features/gateway/StandbyForwarder.h
+++ b/src/features/gateway/StandbyForwarder.h
@@ -9,6 +9,7 @@
 #include <asio/awaitable.hpp>
 #include <asio/io_context.hpp>
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -21,8 +22,11 @@
 /// instance that may have missed orders itself declines.
 class StandbyForwarder {
 public:
-  /// Removes the mark of a forwarded request. True when there was one.
-  static bool takeMark(HttpMessage &Request);
+  /// Removes the mark of a forwarded request. The version of the
+  /// configuration that must be known to answer it; none without a mark.
+  static std::optional<std::uint64_t> takeMark(HttpMessage &Request);
+  /// Says in the answer to a forwarded request by which version it was made.
+  static void addVersion(HttpMessage &Answer, std::uint64_t Version);
   /// Answer of an instance that cannot stand in; the request has not run.
   static HttpMessage declined();
 
@@ -37,6 +41,7 @@
   forwardLookup(HttpMessage Request);
 
 private:
+  void noteVersion(HttpMessage &Answer);
   /// How long the request may take.
   Clock::duration timeFor(const HttpMessage &Request) const;
   /// Addresses to try, in order; another one comes first each time.
@@ -48,6 +53,9 @@
   LinkPool Requests;
   std::map<std::string, Clock::time_point> AvoidedUntil;
   std::size_t NextStart = 0;
+  /// Newest version by which a request to this instance was answered. A caller
+  /// must not see an older one after it.
+  std::uint64_t SeenVersion = 0;
 };
 
 } // namespace rr
--- a/src/features/gateway/SteeringInstance.cpp
+++ b/src/features/gateway/SteeringInstance.cpp
@@ -175,8 +175,17 @@
   const bool OldOrders = Now - this->State.OrdersAsOf > OldestOrders;
   const bool Serves = !this->State.Standby && this->State.Tenure.holds(Now) &&
                       Now < this->State.KeysValidUntil;
-  if (StandbyForwarder::takeMark(Request) && (!Serves || OldOrders))
-    co_return StandbyForwarder::declined();
+  const std::uint64_t Version =
+      this->State.Config ? this->State.Config->Version : 0;
+  const auto Least = StandbyForwarder::takeMark(Request);
+  if (Least) {
+    if (!Serves || OldOrders || Version < *Least)
+      co_return StandbyForwarder::declined();
+    HttpMessage Answer =
+        co_await this->Requests.handle(std::move(Request), std::move(Cancel));
+    StandbyForwarder::addVersion(Answer, Version);
+    co_return Answer;
+  }
   this->noteRequest(Clock::now());
   if (this->State.MembersKnown && !Serves) {
     auto Answer = co_await this->Forwarder.forwardRequest(Request, Cancel);
--- a/src/features/gateway/tst_Standby.cpp
+++ b/src/features/gateway/tst_Standby.cpp
@@ -96,7 +96,7 @@
                    [&](HttpMessage Request, const CancellationPtr &)
                        -> asio::awaitable<HttpMessage> {
                      ++Asked;
-                     CHECK(StandbyForwarder::takeMark(Request));
+                     CHECK(StandbyForwarder::takeMark(Request).has_value());
                      co_return StandbyForwarder::declined();
                    });
   REQUIRE(Large.listen("127.0.0.1:0"));
@@ -110,6 +110,45 @@
   CHECK(Asked == 2);
 }
 
+// Guards against a caller who sees a new configuration and then an older one,
+// because a standby passes its requests on to different instances.
+TEST_CASE("A standby does not go back to an older configuration through "
+          "another instance",
+          "[standby]") {
+  StandbyBed B;
+  std::uint64_t Version = 9;
+  std::vector<std::uint64_t> Asked;
+  HttpServer Large(B.Context,
+                   [&](HttpMessage Request, const CancellationPtr &)
+                       -> asio::awaitable<HttpMessage> {
+                     const auto Least = StandbyForwarder::takeMark(Request);
+                     Asked.push_back(Least.value_or(0));
+                     if (Least && Version < *Least)
+                       co_return StandbyForwarder::declined();
+                     HttpMessage Reply = Bed::goodAnswer(Request);
+                     StandbyForwarder::addVersion(Reply, Version);
+                     co_return Reply;
+                   });
+  REQUIRE(Large.listen("127.0.0.1:0"));
+  B.LargeAddress = "127.0.0.1:" + std::to_string(Large.port());
+  for (int Second = 0; Second < 10; ++Second) {
+    B.putLarge();
+    B.advance(1s);
+  }
+  const std::string First = B.request("GET", "/safe/x");
+  CHECK(hasStatus(First, 200));
+  CHECK(First.find("Redwingrack") == std::string::npos);
+  REQUIRE(Asked.size() == 1);
+  CHECK(Asked[0] == 1);
+  // Another instance has not got version 9 yet.
+  Version = 8;
+  CHECK(hasStatus(B.request("GET", "/safe/x"), 200));
+  REQUIRE(Asked.size() >= 2);
+  CHECK(Asked[1] == 9);
+  // It was declined, and this instance has served the request itself.
+  CHECK(B.arrivals() == 1);
+}
+
 TEST_CASE("A forwarded request is served with current orders only, and its "
           "mark does not reach the server",
           "[standby]") {
