Hold rates by region, and run requests that were sent ahead at the same time

Cause: a workspace's rate was cut into parts by published demand; at 27 instances in service and 190 workspaces a part is less than a request, and arrivals at one instance are noise. Change: instances pass the tokens that they do not need soon on to one of three holders of their region and ask it for more; a holder with a good stock gives to the region that lacks most. Who gives has subtracted first, so nothing has to be agreed on. Parts, tenure and what happens without a link stay as they were. Ruled out: fewer holders of the parts themselves (two that both take themselves for the holder would use a part twice); larger buckets (27 instances with room for three requests each exceed the tolerance of a small workspace).

Cause: a request sent ahead began when the answer in front was written, so it waited for its whole work. Change: HttpSession runs requests of repeatable routes beside those in front, 8 of a connection at most, and begins none while 1 MiB of answers wait; others wait for those in front. A stop answers all that run; what stands behind a closing answer does not run. An answer that ends the connection is read out before the close, so that it is not reset.

The links between instances are shared by their users (PeerLinks).

--- a/src/bench/BenchCommands.cpp
+++ b/src/bench/BenchCommands.cpp
@@ -2,6 +2,7 @@
 
 #include "bench/CapacityBench.h"
 #include "bench/LimitsBench.h"
+#include "bench/QuotaBench.h"
 #include "bench/RolloutBench.h"
 
 namespace rr {
@@ -20,6 +21,8 @@
     {"limits", "rate limiting policies; --seed N, --seconds N, --between-ms N",
      runLimitsBench},
     {"lookup", "rate and memory of the client block table", runLookupBench},
+    {"quota", "rates held by the instances of steer; --seed N, --seconds N",
+     runQuotaBench},
     {"rollout", "version comparison, shifts and drains", runRolloutBench},
     {"routing", "policy simulation; optional argument: seed", runRoutingBench},
 };
--- a/src/features/gateway/Gateway.cpp
+++ b/src/features/gateway/Gateway.cpp
@@ -3,6 +3,7 @@
 #include "base/Errc.h"
 #include "gateway/GatewayAttempt.h"
 #include "gateway/GatewayReplies.h"
+#include "gateway/QuotaExchange.h"
 #include "gateway/RequestAdmission.h"
 #include "gateway/SteeringMetrics.h"
 #include "http1/MessageText.h"
@@ -53,24 +54,11 @@
 
 bool isServerError(const HttpMessage &Answer) { return Answer.Status >= 500; }
 
-/// Outcome of a request that was refused before a server was chosen.
-const char *refusalName(const HttpMessage &Refusal) {
-  switch (Refusal.Status) {
-  case 401:
-    return "unknown_key";
-  case 404:
-    return "no_route";
-  case 429:
-    return "rate_used_up";
-  default:
-    return "not_ready";
-  }
-}
-
 } // namespace
 
-Gateway::Gateway(asio::io_context &Io, SteeringState &Known, Metrics &Totals)
-    : State(Known), Counters(Totals),
+Gateway::Gateway(asio::io_context &Io, SteeringState &Known,
+                 QuotaExchange &Rates, Metrics &Totals)
+    : State(Known), Quotas(Rates), Counters(Totals),
       Links(Io, KeptLinks, ParserLimits{32U << 10, LargestAnswer}),
       Random(randomSeed()) {}
 
@@ -82,14 +70,16 @@
   const std::string Id = Field ? *Field : "";
   AdmissionVerdict Verdict = admitRequest(this->State, std::move(Message),
                                           Cancel, Jitter, Clock::now());
-  if (auto *Refusal = std::get_if<HttpMessage>(&Verdict)) {
-    this->Counters.add(Metric::SteeringRequests,
-                       {{"route", ""}, {"outcome", refusalName(*Refusal)}});
-    this->logRefusal(Id, *Refusal);
-    co_return std::move(*Refusal);
+  if (auto *Refusal = std::get_if<HttpMessage>(&Verdict))
+    co_return this->refuse(Id, std::move(*Refusal));
+  GatewayRequest &Request = std::get<GatewayRequest>(Verdict);
+  if (Request.Workspace) {
+    const QuotaVerdict Quota = co_await this->Quotas.take(*Request.Workspace);
+    if (Quota.Wait > Clock::duration::zero())
+      co_return this->refuse(Id, rateRefusal(Quota.Wait, Jitter),
+                             Quota.DecidedBy);
   }
-  co_return co_await this->forward(
-      std::move(std::get<GatewayRequest>(Verdict)));
+  co_return co_await this->forward(std::move(Request));
 }
 
 Placement Gateway::place(const GatewayRequest &Request, const Progress &Sofar) {
--- a/src/features/gateway/Gateway.h
+++ b/src/features/gateway/Gateway.h
@@ -19,12 +19,15 @@
 
 namespace rr {
 
+class QuotaExchange;
+
 /// Serves callers' requests: admits them, places them and forwards them to
 /// backend servers.
 class Gateway {
 public:
-  /// \p State and \p Counters outlive the gateway.
-  Gateway(asio::io_context &Context, SteeringState &State, Metrics &Counters);
+  /// \p State, \p Quotas and \p Counters outlive the gateway.
+  Gateway(asio::io_context &Context, SteeringState &State,
+          QuotaExchange &Quotas, Metrics &Counters);
 
   asio::awaitable<HttpMessage> handle(HttpMessage Message,
                                       CancellationPtr Cancel);
@@ -48,7 +51,10 @@
              const std::function<std::vector<EventField>()> &Fields);
   void countAttempt(const Progress &Sofar, const Attempt &Done);
   void countEnd(const GatewayRequest &Request, const char *Outcome);
-  void logRefusal(const std::string &Id, const HttpMessage &Refusal);
+  /// Refuses a request before a server is chosen. \p DecidedBy is the
+  /// instance that found the workspace's rate used up, if that is the reason.
+  HttpMessage refuse(const std::string &Id, HttpMessage Refusal,
+                     const std::string &DecidedBy = "");
   void logAttempt(const GatewayRequest &Request, const Progress &Sofar,
                   const Attempt &Done) const;
   bool mayRetry(const GatewayRequest &Request, const Progress &Sofar,
@@ -67,6 +73,7 @@
   Clock::duration retryDelay();
 
   SteeringState &State;
+  QuotaExchange &Quotas;
   Metrics &Counters;
   LinkPool Links;
   RandomEngine Random;
--- a/src/features/gateway/GatewayReport.cpp
+++ b/src/features/gateway/GatewayReport.cpp
@@ -4,6 +4,24 @@
 
 namespace rr {
 
+namespace {
+
+/// Outcome of a request that was refused before a server was chosen.
+const char *refusalName(const HttpMessage &Refusal) {
+  switch (Refusal.Status) {
+  case 401:
+    return "unknown_key";
+  case 404:
+    return "no_route";
+  case 429:
+    return "rate_used_up";
+  default:
+    return "not_ready";
+  }
+}
+
+} // namespace
+
 std::string millisecondText(Clock::duration Time) {
   return std::to_string(
       std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
@@ -41,7 +59,10 @@
                          Clock::now() - Request.Arrived);
 }
 
-void Gateway::logRefusal(const std::string &Id, const HttpMessage &Refusal) {
+HttpMessage Gateway::refuse(const std::string &Id, HttpMessage Refusal,
+                            const std::string &DecidedBy) {
+  this->Counters.add(Metric::SteeringRequests,
+                     {{"route", ""}, {"outcome", refusalName(Refusal)}});
   const auto &Config = this->State.Config;
   this->write(
       Event::RequestNotAdmitted,
@@ -53,8 +74,10 @@
             {"config", Config ? std::to_string(Config->Version) : "none"},
             {"keys_valid_ms",
              millisecondText(this->State.KeysValidUntil - bootTime())},
-            {"instances", std::to_string(this->State.Members.holders())}};
+            {"instances", std::to_string(this->State.Members.holders())},
+            {"decided_by", DecidedBy}};
       });
+  return Refusal;
 }
 
 void Gateway::logAttempt(const GatewayRequest &Request, const Progress &Sofar,
--- /dev/null
+++ b/src/features/gateway/QuotaExchange.h
@@ -0,0 +1,69 @@
+#ifndef REDWINGRACK_GATEWAY_QUOTAEXCHANGE_H
+#define REDWINGRACK_GATEWAY_QUOTAEXCHANGE_H
+
+#include "base/Clock.h"
+#include "gateway/QuotaMessages.h"
+#include "gateway/QuotaVerdict.h"
+#include "telemetry/Metrics.h"
+
+#include <asio/awaitable.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace rr {
+
+class PeerLinks;
+struct IncomingCall;
+struct Message;
+struct SteeringState;
+struct SteeringWorkspace;
+
+/// Brings the tokens of a workspace's rate to where its requests are: the
+/// instances of a region pass what they do not need soon on to one of them
+/// and ask it for more. Without it each uses its own part.
+class QuotaExchange {
+public:
+  /// All outlive the exchange; \p Links are not started yet.
+  QuotaExchange(SteeringState &State, PeerLinks &Links, Metrics &Counters);
+
+  /// Takes one request of the workspace, which outlives the call.
+  asio::awaitable<QuotaVerdict> take(const SteeringWorkspace &Workspace);
+
+  /// Reviews who holds what, and passes tokens on; called often.
+  void maintain(Clock::time_point Now);
+
+private:
+  /// The holder of a workspace's rate in a region; empty when no instance can
+  /// hold any.
+  std::string holderOf(const std::string &Workspace,
+                       const std::string &Region) const;
+  void reviewHolders();
+  void passTokens(Clock::time_point Now);
+  /// Takes out what this instance passes on, and names the receiver.
+  std::string takeOut(const SteeringWorkspace &Workspace, MicroRequests &Amount,
+                      Clock::time_point Now);
+  void answerRequest(const IncomingCall &Call);
+  void receiveTokens(const std::string &Peer, const Message &Received);
+  asio::awaitable<QuotaVerdict> ask(std::string Workspace, std::string Holder,
+                                    QuotaVerdict Local);
+  void count(const char *Result);
+  bool sharesSums() const;
+
+  SteeringState &State;
+  PeerLinks &Links;
+  Metrics &Counters;
+  /// Names of the instances that may hold rates, by region: of this one, and
+  /// of the others if this instance holds any.
+  std::map<std::string, std::vector<std::string>> Holders;
+  Clock::time_point NextPass{};
+  /// Holders that did not answer are not asked before.
+  std::map<std::string, Clock::time_point> AvoidedUntil;
+  /// Workspaces whose holder had nothing are refused without asking before.
+  std::map<std::string, Clock::time_point> EmptyUntil;
+};
+
+} // namespace rr
+
+#endif // REDWINGRACK_GATEWAY_QUOTAEXCHANGE_H
--- /dev/null
+++ b/src/features/gateway/QuotaMessages.h
@@ -0,0 +1,32 @@
+#ifndef REDWINGRACK_GATEWAY_QUOTAMESSAGES_H
+#define REDWINGRACK_GATEWAY_QUOTAMESSAGES_H
+
+#include "base/Outcome.h"
+#include "limits/ShareUnits.h"
+#include "steering/QuotaGrant.h"
+
+#include <map>
+#include <string>
+
+namespace rr {
+
+/// Asks the holder for tokens of a workspace.
+struct QuotaRequest {
+  std::string Workspace;
+  MicroRequests Wanted = 0;
+};
+
+/// Tokens that are passed on, by workspace.
+using QuotaParcel = std::map<std::string, MicroRequests>;
+
+/// Bodies of messages about rates. The readers return Errc::Malformed.
+std::string encodeQuotaRequest(const QuotaRequest &Request);
+Outcome<QuotaRequest> decodeQuotaRequest(const std::string &Body);
+std::string encodeQuotaGrant(const QuotaGrant &Grant);
+Outcome<QuotaGrant> decodeQuotaGrant(const std::string &Body);
+std::string encodeQuotaParcel(const QuotaParcel &Parcel);
+Outcome<QuotaParcel> decodeQuotaParcel(const std::string &Body);
+
+} // namespace rr
+
+#endif // REDWINGRACK_GATEWAY_QUOTAMESSAGES_H
--- a/src/features/gateway/RequestAdmission.cpp
+++ b/src/features/gateway/RequestAdmission.cpp
@@ -57,6 +57,12 @@
       std::chrono::duration<double, std::milli>(Milliseconds));
 }
 
+HttpMessage rateRefusal(Clock::duration Wait, double Jitter) {
+  return refusalReply(
+      429, "the workspace's rate is used up",
+      spread(std::min(Wait, LongestQuotaRetry), UnreadySpread, Jitter));
+}
+
 AdmissionVerdict admitRequest(SteeringState &State, HttpMessage Message,
                               CancellationPtr Cancel, double Jitter,
                               Clock::time_point Now) {
@@ -96,14 +102,6 @@
       !State.Tenure.holds(bootTime()))
     return refusalReply(503, "the others do not count on this instance yet",
                         spread(UnreadyRetry, UnreadySpread, Jitter));
-  if (Request.Workspace) {
-    const Clock::duration Wait = State.Quotas.take(
-        *Request.Workspace, State.Members, State.Settings.Bounds.Quota, Now);
-    if (Wait > Clock::duration::zero())
-      return refusalReply(
-          429, "the workspace's rate is used up",
-          spread(std::min(Wait, LongestQuotaRetry), UnreadySpread, Jitter));
-  }
   const auto Deadline = callerDeadline(Message, Names);
   if (Deadline)
     Request.Returning = State.Returns.isBack(Route.Name, *Deadline);
--- a/src/features/gateway/SteeringInstance.cpp
+++ b/src/features/gateway/SteeringInstance.cpp
@@ -48,7 +48,10 @@
                                    TableStore Tables, PlatformCodec Names)
     : Context(Io), Store(countCalls(std::move(Tables), this->Counters)),
       Codec(std::move(Names)), State(Settings),
-      Requests(Io, this->State, this->Counters), Forwarder(Io, this->State),
+      Links(Io, {Settings.Name, Settings.Zone, Settings.PeerAddress}),
+      Quotas(this->State, this->Links, this->Counters),
+      Requests(Io, this->State, this->Quotas, this->Counters),
+      Forwarder(Io, this->State),
       Callers(Io,
               [this](HttpMessage Request, CancellationPtr Cancel) {
                 return this->answerCaller(std::move(Request),
@@ -69,8 +72,7 @@
       Orders(this->State, this->Codec), Backends(this->State, this->Codec),
       Members(this->State, randomToken().substr(0, 8)),
       Moves(this->State, this->Members, this->Store, this->Codec),
-      Relay(Io, this->Store,
-            {Settings.Name, Settings.Zone, Settings.PeerAddress},
+      Relay(this->Links, this->Store,
             [this](const std::string &Table) -> std::optional<RelayPeer> {
               const MemberRecord *Reader = this->State.Members.readerFor(
                   this->State.Settings.Region, Table);
@@ -103,6 +105,14 @@
            [this](const TableRows &Rows) { this->Members.applyChanges(Rows); },
            nullptr}),
       AnnounceTimer(Io) {
+  this->Callers.setRunsAhead([this](const HttpMessage &Request) {
+    const std::string *Host = findHeader(Request.Headers, "Host");
+    const SteeringRoute *Route =
+        this->State.Config
+            ? findRoute(*this->State.Config, Host ? *Host : "", Request.Target)
+            : nullptr;
+    return Route && isRepeatable(Route->Kind);
+  });
   this->Orders.onConfiguration([this](const SteeringConfig &Config) {
     this->applyLimits(Config.Limits);
   });
@@ -310,11 +320,12 @@
   while (!this->Stopped) {
     const Clock::time_point Now = Clock::now();
     this->Requests.links().dropExpired();
-    this->Relay.start(this->State.PeerSecret);
+    this->Links.start(this->State.PeerSecret);
     // A standby judges the others as of its last read.
     if (!this->State.Standby)
       this->Members.advanceStoreTime(Now);
     this->reviewStandby(Now);
+    this->Quotas.maintain(Now);
     this->State.ColdServers.expire(Now);
     this->Backends.settle(this->BackendTable.isSettling());
     if (this->State.Config)
@@ -358,7 +369,7 @@
              {{"count", std::to_string(this->Callers.activeRequests())}});
   logEvent(Event::SteeringStopped);
   this->Stopped = true;
-  this->Relay.stop();
+  this->Links.stop();
   Done();
 }
 
--- a/src/features/gateway/SteeringInstance.h
+++ b/src/features/gateway/SteeringInstance.h
@@ -9,9 +9,11 @@
 #include "gateway/MoveKeeper.h"
 #include "gateway/OrderRegistry.h"
 #include "gateway/PlatformCodec.h"
+#include "gateway/QuotaExchange.h"
 #include "gateway/StandbyForwarder.h"
 #include "gateway/SteeringState.h"
 #include "http1/HttpServer.h"
+#include "links/PeerLinks.h"
 #include "tables/TableRelay.h"
 #include "tables/TableStore.h"
 #include "tables/TableWatch.h"
@@ -74,6 +76,8 @@
   TableStore Store;
   PlatformCodec Codec;
   SteeringState State;
+  PeerLinks Links;
+  QuotaExchange Quotas;
   Gateway Requests;
   StandbyForwarder Forwarder;
   HttpServer Callers;
--- /dev/null
+++ b/src/features/links/PeerLinks.cpp
@@ -0,0 +1,117 @@
+#include "links/PeerLinks.h"
+
+#include "logging/EventLog.h"
+#include "peerlink/PeerCoroutines.h"
+#include "peerlink/PeerNode.h"
+
+namespace rr {
+
+namespace {
+
+/// Calls come more often, and show silence sooner.
+constexpr Clock::duration HeartbeatPeriod = std::chrono::seconds(4);
+constexpr Clock::duration DeadAfter = std::chrono::seconds(9);
+
+} // namespace
+
+PeerLinks::PeerLinks(asio::io_context &Io, Options What)
+    : Context(Io), Chosen(std::move(What)) {}
+
+PeerLinks::~PeerLinks() = default;
+
+void PeerLinks::onCall(const std::string &Method, CallHandler Handler) {
+  this->CallHandlers[Method] = std::move(Handler);
+}
+
+void PeerLinks::onMessage(const std::string &Method, MessageHandler Handler) {
+  this->MessageHandlers[Method] = std::move(Handler);
+}
+
+void PeerLinks::start(const std::string &Secret) {
+  if (this->Node || this->Chosen.ListenAddress.empty() || Secret.empty())
+    return;
+  PeerOptions Options;
+  Options.Name = this->Chosen.Name;
+  Options.Zone = this->Chosen.Zone;
+  Options.ListenAddress = this->Chosen.ListenAddress;
+  Options.SharedSecret = Secret;
+  Options.Limits.HeartbeatPeriod = HeartbeatPeriod;
+  Options.Limits.DeadAfter = DeadAfter;
+  auto Started = std::make_unique<PeerNode>(this->Context, Options);
+  for (const auto &[Method, Handler] : this->CallHandlers)
+    Started->onCall(Method, Handler);
+  for (const auto &[Method, Handler] : this->MessageHandlers)
+    Started->onMessage(Method, Handler);
+  if (const auto Listening = Started->start(); !Listening) {
+    logEvent(Event::RelayUnavailable, {{"address", this->Chosen.ListenAddress},
+                                       {"error", Listening.error().message()}});
+    // Tried once: the address stays the same for the life of the process.
+    this->Chosen.ListenAddress.clear();
+    return;
+  }
+  this->Node = std::move(Started);
+  this->review();
+}
+
+void PeerLinks::stop() {
+  if (this->Node)
+    this->Node->stop();
+  this->Chosen.ListenAddress.clear();
+}
+
+std::uint16_t PeerLinks::port() const {
+  return this->Node ? this->Node->port() : 0;
+}
+
+void PeerLinks::want(const std::string &User, Peers Wanted) {
+  Peers &Before = this->WantedByUser[User];
+  if (Before == Wanted)
+    return;
+  Before = std::move(Wanted);
+  this->review();
+}
+
+void PeerLinks::review() {
+  if (!this->Node)
+    return;
+  Peers All;
+  for (const auto &Item : this->WantedByUser)
+    All.insert(Item.second.begin(), Item.second.end());
+  for (const auto &Item : this->Connected)
+    if (!All.contains(Item.first))
+      this->Node->disconnect(Item.first);
+  for (const auto &[Peer, Address] : All) {
+    const auto Known = this->Connected.find(Peer);
+    if (Known != this->Connected.end() && Known->second == Address)
+      continue;
+    if (const auto Wanted = this->Node->connect(Peer, Address); !Wanted)
+      logEvent(Event::RelayUnavailable,
+               {{"address", Address}, {"error", Wanted.error().message()}});
+  }
+  this->Connected = std::move(All);
+}
+
+bool PeerLinks::isLinked(const std::string &Peer) const {
+  return this->Node && this->Node->isLinked(Peer);
+}
+
+asio::awaitable<Outcome<Message>>
+PeerLinks::call(std::string Peer, Message Request, Clock::time_point Deadline) {
+  if (!this->Node)
+    co_return failure(Errc::Unavailable);
+  co_return co_await callPeer(*this->Node, std::move(Peer), std::move(Request),
+                              Deadline);
+}
+
+Outcome<void> PeerLinks::send(const std::string &Peer, const Message &Content) {
+  if (!this->Node)
+    return failure(Errc::Unavailable);
+  return this->Node->send(Peer, Content);
+}
+
+void PeerLinks::reportMalformed(const std::string &Peer) {
+  if (this->Node)
+    this->Node->reportMalformed(Peer);
+}
+
+} // namespace rr
--- /dev/null
+++ b/src/features/links/tst_PeerLinks.cpp
@@ -0,0 +1,99 @@
+#include "links/PeerLinks.h"
+
+#include "testing/TestLoop.h"
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+#include <thread>
+
+using namespace rr;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Two instances, the second of which can be linked to.
+struct LinksBed {
+  LinksBed() {
+    this->Second.onCall("echo", [](IncomingCall Call) {
+      Call.Answer(Message{"echo", Call.Request.Body});
+    });
+    this->First.start("secret");
+    this->Second.start("secret");
+  }
+  ~LinksBed() {
+    this->First.stop();
+    this->Second.stop();
+    this->advance(1s);
+  }
+
+  /// Leaves the kernel time to deliver between steps of the paused clock.
+  void advance(Clock::duration Time) {
+    for (Clock::duration Passed{0}; Passed < Time; Passed += 50ms) {
+      Clock::advance(50ms);
+      for (int Round = 0; Round < 3; ++Round) {
+        this->Loop.run();
+        std::this_thread::sleep_for(200us);
+      }
+    }
+  }
+
+  Outcome<Message> echo(const std::string &Text) {
+    std::optional<Outcome<Message>> Answer;
+    this->Loop.spawn([&]() -> asio::awaitable<void> {
+      Message Question{"echo", Text};
+      Answer = co_await this->First.call("second", std::move(Question),
+                                         Clock::now() + 1s);
+    });
+    for (int Step = 0; Step < 40 && !Answer; ++Step)
+      this->advance(50ms);
+    return Answer.value_or(failure(Errc::Timeout));
+  }
+
+  PeerLinks::Peers second() const {
+    return {{"second", "127.0.0.1:" + std::to_string(this->Second.port())}};
+  }
+
+  TestLoop Loop;
+  PeerLinks First{this->Loop.context(), {"first", "z", "127.0.0.1:0"}};
+  PeerLinks Second{this->Loop.context(), {"second", "z", "127.0.0.1:0"}};
+};
+
+} // namespace
+
+// Guards against one feature that closes the link that another one uses.
+TEST_CASE("A link stays up for as long as one user wants it", "[links]") {
+  LinksBed Bed;
+  Bed.First.want("tables", Bed.second());
+  Bed.First.want("quota", Bed.second());
+  Bed.advance(1s);
+  REQUIRE(Bed.First.isLinked("second"));
+  Bed.First.want("tables", {});
+  Bed.advance(1s);
+  CHECK(Bed.First.isLinked("second"));
+  CHECK(Bed.echo("x")->Body == "x");
+  Bed.First.want("quota", {});
+  Bed.advance(1s);
+  CHECK_FALSE(Bed.First.isLinked("second"));
+}
+
+// Guards against peers that are wanted before the secret is known and then
+// never linked.
+TEST_CASE("What was wanted before the start is linked after it", "[links]") {
+  LinksBed Bed;
+  PeerLinks Third(Bed.Loop.context(), {"third", "z", "127.0.0.1:0"});
+  Third.want("quota", Bed.second());
+  CHECK_FALSE(Third.send("second", {"echo", ""}));
+  Third.start("secret");
+  Bed.advance(1s);
+  CHECK(Third.isLinked("second"));
+  Third.stop();
+  Bed.advance(1s);
+}
+
+TEST_CASE("A call without a link had no effect and says so", "[links]") {
+  LinksBed Bed;
+  const auto Answer = Bed.echo("x");
+  REQUIRE_FALSE(Answer);
+  CHECK(Answer.error() == make_error_code(Errc::Unavailable));
+}
--- a/src/features/steering/MemberView.cpp
+++ b/src/features/steering/MemberView.cpp
@@ -30,19 +30,37 @@
 /// of a few requests a second says little, and a floor in requests a second.
 constexpr double AveragePart = 0.6;
 constexpr double DemandFloor = 0.05;
+/// Instances of a region that hold rates for it; each other one keeps a link
+/// to all of them.
+constexpr std::size_t MostQuotaHolders = 3;
 
 } // namespace
 
 void MemberView::apply(MemberRecord Record) {
   this->Records[Record.Name] = std::move(Record);
+  this->Sums.reset();
 }
 
-void MemberView::remove(const std::string &Name) { this->Records.erase(Name); }
+void MemberView::remove(const std::string &Name) {
+  this->Records.erase(Name);
+  this->Sums.reset();
+}
+
+void MemberView::clear() {
+  this->Records.clear();
+  this->Sums.reset();
+}
+
+void MemberView::restartContact() {
+  this->ContactSince = this->StoreTime;
+  this->Sums.reset();
+}
 
 void MemberView::noteRead(Clock::duration Time, bool AfterGap) {
   this->StoreTime = this->ReadTime = Time;
   if (AfterGap)
     this->ContactSince = Time;
+  this->Sums.reset();
 }
 
 bool MemberView::isRecent(const MemberRecord &Record,
@@ -157,11 +175,26 @@
   return Names;
 }
 
-std::size_t MemberView::holders() const {
-  std::size_t Count = this->Records.count(this->Self) ? 0 : 1;
-  for (const auto &Item : this->Records)
-    Count += this->holdsShares(Item.second) ? 1 : 0;
-  return Count;
+std::size_t MemberView::holders() const { return this->shareSums().Holders; }
+
+const MemberView::ShareSums &MemberView::shareSums() const {
+  if (this->Sums)
+    return *this->Sums;
+  ShareSums &Result = this->Sums.emplace();
+  Result.Holders = this->Records.count(this->Self) ? 0 : 1;
+  for (const auto &Item : this->Records) {
+    const MemberRecord &Record = Item.second;
+    if (!this->holdsShares(Record))
+      continue;
+    ++Result.Holders;
+    ++Result.HoldersByRegion[Record.Region];
+    auto &InRegion = Result.DemandByRegion[Record.Region];
+    for (const auto &[Workspace, Demand] : Record.Demand) {
+      Result.Demand[Workspace] += Demand;
+      InRegion[Workspace] += Demand;
+    }
+  }
+  return Result;
 }
 
 std::vector<std::string>
@@ -191,27 +224,88 @@
   return Result;
 }
 
-double MemberView::rateShare(const std::string &Workspace) const {
-  const double Even = 1 / double(this->holders());
-  const auto DemandOf = [&](const MemberRecord &Record) {
-    const auto Found = Record.Demand.find(Workspace);
-    return DemandFloor + (Found == Record.Demand.end() ? 0 : Found->second);
-  };
-  const auto Own = this->Records.find(this->Self);
-  if (Own == this->Records.end())
-    return Even;
-  double Total = 0;
-  for (const auto &Item : this->Records)
-    if (this->holdsShares(Item.second))
-      Total += DemandOf(Item.second);
+double MemberView::shareOf(const std::string &Workspace, double Demand,
+                           std::size_t Count) const {
+  const ShareSums &All = this->shareSums();
+  const double Even = double(Count) / double(All.Holders);
+  const auto Published = All.Demand.find(Workspace);
+  const double Total = DemandFloor * double(All.Holders) +
+                       (Published == All.Demand.end() ? 0 : Published->second);
+  const double ByDemand =
+      (DemandFloor * double(Count) + Demand + AveragePart * Total * Even) /
+      (Total * (1 + AveragePart));
   // What is known of demand differs between instances that have just started
   // or found the store again.
   const double Most = this->isNewContact() ? Even : 1;
-  const double ByDemand = (DemandOf(Own->second) + AveragePart * Total * Even) /
-                          (Total * (1 + AveragePart));
   return std::min(Most, EvenPart * Even + (1 - EvenPart) * ByDemand);
 }
 
+double MemberView::rateShare(const std::string &Workspace) const {
+  const auto Own = this->Records.find(this->Self);
+  if (Own == this->Records.end())
+    return 1 / double(this->holders());
+  const auto Demand = Own->second.Demand.find(Workspace);
+  return this->shareOf(
+      Workspace, Demand == Own->second.Demand.end() ? 0 : Demand->second, 1);
+}
+
+double MemberView::regionShare(const std::string &Workspace,
+                               const std::string &Region) const {
+  const ShareSums &All = this->shareSums();
+  const auto Count = All.HoldersByRegion.find(Region);
+  if (Count == All.HoldersByRegion.end())
+    return this->rateShare(Workspace);
+  const auto &InRegion = All.DemandByRegion.at(Region);
+  const auto Demand = InRegion.find(Workspace);
+  return this->shareOf(Workspace, Demand == InRegion.end() ? 0 : Demand->second,
+                       Count->second);
+}
+
+std::vector<std::string> MemberView::regions() const {
+  std::vector<std::string> Names;
+  for (const auto &Item : this->shareSums().HoldersByRegion)
+    Names.push_back(Item.first);
+  return Names;
+}
+
+std::string MemberView::neediestRegion(const std::string &Workspace,
+                                       double Rate,
+                                       const std::string &Region) const {
+  const ShareSums &All = this->shareSums();
+  std::string Result;
+  double Most = 0;
+  for (const auto &[Name, Demand] : All.DemandByRegion) {
+    if (Name == Region)
+      continue;
+    const auto Found = Demand.find(Workspace);
+    const double Need = (Found == Demand.end() ? 0 : Found->second) -
+                        Rate * this->regionShare(Workspace, Name);
+    if (Result.empty() || Need > Most) {
+      Result = Name;
+      Most = Need;
+    }
+  }
+  return Result;
+}
+
+std::vector<const MemberRecord *>
+MemberView::quotaHolders(const std::string &Region) const {
+  std::vector<std::pair<std::uint64_t, const MemberRecord *>> Ranked;
+  const std::uint64_t Seed = stableHash(Region);
+  for (const auto &[Name, Record] : this->Records)
+    if (Record.Region == Region && !Record.Standby && !Record.Joining &&
+        !Record.PeerAddress.empty() && this->isLive(Record) &&
+        this->isActive(Record))
+      Ranked.emplace_back(mixHashes(Seed, stableHash(Name)), &Record);
+  std::sort(Ranked.rbegin(), Ranked.rend());
+  if (Ranked.size() > MostQuotaHolders)
+    Ranked.resize(MostQuotaHolders);
+  std::vector<const MemberRecord *> Result;
+  for (const auto &Item : Ranked)
+    Result.push_back(Item.second);
+  return Result;
+}
+
 bool MemberView::isChosen(std::uint64_t Item, std::size_t Count) const {
   const std::uint64_t Own = mixHashes(Item, stableHash(this->Self));
   std::size_t Better = 0;
--- a/src/features/steering/MemberView.h
+++ b/src/features/steering/MemberView.h
@@ -5,6 +5,7 @@
 #include "steering/MemberRecord.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -22,7 +23,7 @@
 
   void apply(MemberRecord Record);
   void remove(const std::string &Name);
-  void clear() { this->Records.clear(); }
+  void clear();
   /// Advances the estimate of the store's clock.
   void setStoreTime(Clock::duration StoreTime) { this->StoreTime = StoreTime; }
   /// The records were read. After a gap, or for the first time, none is taken
@@ -30,7 +31,7 @@
   /// theirs.
   void noteRead(Clock::duration StoreTime, bool AfterGap);
   /// Begins the time after a gap anew.
-  void restartContact() { this->ContactSince = this->StoreTime; }
+  void restartContact();
   Clock::duration contactSince() const { return this->ContactSince; }
   /// Whether others, that have read without a gap, take this instance for gone
   /// when its record is old.
@@ -75,6 +76,23 @@
   /// that the instances have published, this one included, so that the parts
   /// of all add up to one even while demand changes.
   double rateShare(const std::string &Workspace) const;
+  /// The parts of all instances of \p Region together.
+  double regionShare(const std::string &Workspace,
+                     const std::string &Region) const;
+
+  /// The instances that may hold the parts of rates for all of \p Region,
+  /// this one perhaps among them; a few, and the same at all instances that
+  /// know the same ones.
+  std::vector<const MemberRecord *>
+  quotaHolders(const std::string &Region) const;
+
+  /// Regions with instances that share sums.
+  std::vector<std::string> regions() const;
+  /// The region that lacks most of what the instances of \p Region could give
+  /// away: whose demand is the largest against its parts. Empty when there is
+  /// no other region.
+  std::string neediestRegion(const std::string &Workspace, double Rate,
+                             const std::string &Region) const;
 
   /// Whether this instance is one of the \p Count that may use \p Item.
   bool isChosen(std::uint64_t Item, std::size_t Count) const;
@@ -89,12 +107,28 @@
   bool mayServe(const MemberRecord &Record) const;
   bool holdsShares(const MemberRecord &Record) const;
 
+  /// Instances that share sums, and what they published.
+  struct ShareSums {
+    std::size_t Holders = 0;
+    std::map<std::string, std::size_t> HoldersByRegion;
+    /// Requests a second by workspace.
+    std::map<std::string, double> Demand;
+    /// The same by region and workspace.
+    std::map<std::string, std::map<std::string, double>> DemandByRegion;
+  };
+  const ShareSums &shareSums() const;
+  /// Part of \p Count instances with \p Demand requests a second together.
+  double shareOf(const std::string &Workspace, double Demand,
+                 std::size_t Count) const;
+
   std::string Self;
   Clock::duration StoreTime{0};
   /// The store's clock at the last read.
   Clock::duration ReadTime{0};
   Clock::duration ContactSince{0};
   std::map<std::string, MemberRecord> Records;
+  /// Counted when first needed after a change; none before.
+  mutable std::optional<ShareSums> Sums;
 };
 
 } // namespace rr
--- a/src/features/steering/tst_FleetFaults.cpp
+++ b/src/features/steering/tst_FleetFaults.cpp
@@ -51,6 +51,10 @@
     Clock::time_point ProvenAt{};
     ShareTenure Tenure;
     Clock::time_point CutUntil{};
+    /// Other instances cannot be reached either.
+    Clock::time_point AloneUntil{};
+    Clock::time_point NextPass{};
+    std::vector<std::string> Holders;
     Clock::time_point PausedUntil{};
     Clock::time_point DownUntil{};
     bool Known = false;
@@ -75,6 +79,48 @@
            Now < Item.ProvenAt + RevocationTime - RevocationMargin;
   }
 
+  /// Passes tokens on as QuotaExchange does.
+  void exchangeTokens(const SteeringWorkspace &Workspace) {
+    const Clock::time_point Now = Clock::now();
+    for (Node &Item : this->Nodes) {
+      if (!this->serves(Item) || Now < Item.NextPass)
+        continue;
+      Item.NextPass = Now + 250ms;
+      Item.Holders.clear();
+      for (const MemberRecord *Record : Item.View->quotaHolders("r"))
+        Item.Holders.push_back(Record->Name);
+      const std::string Name = holderOf(Item, Workspace);
+      QuotaRole Role = QuotaRole::Independent;
+      if (!Name.empty())
+        Role = Name == Item.Name ? QuotaRole::Holder : QuotaRole::Member;
+      Item.Quotas.setRole(Workspace, Role, "r", *Item.View, Bounds, Now);
+      Node *Holder = this->find(Name);
+      if (!Holder || !this->isLinked(Item, *Holder))
+        continue;
+      const MicroRequests Tokens = Item.Quotas.surrender(Workspace.Name, Now);
+      if (Now >= Holder->PausedUntil)
+        Holder->Quotas.deposit(Workspace.Name, Tokens);
+    }
+  }
+
+  /// Takes a request at one instance, which asks the holder if need be.
+  bool admit(const SteeringWorkspace &Workspace, Node &At) {
+    const Clock::time_point Now = Clock::now();
+    if (At.Quotas.take(Workspace, *At.View, Bounds, Now) ==
+        Clock::duration::zero())
+      return true;
+    Node *Holder = this->find(holderOf(At, Workspace));
+    if (!Holder || Holder == &At || !this->isLinked(At, *Holder) ||
+        !this->serves(*Holder))
+      return false;
+    const QuotaGrant Grant = Holder->Quotas.lend(
+        Workspace.Name, At.Quotas.batch(Workspace.Name, Now), Now);
+    if (Grant.Amount < OneRequest)
+      return false;
+    At.Quotas.deposit(Workspace.Name, Grant.Amount - OneRequest);
+    return true;
+  }
+
   /// One random fault; some of them are several at once.
   void breakSomething() {
     const Clock::time_point Now = Clock::now();
@@ -88,8 +134,12 @@
     };
     switch (std::uniform_int_distribution<>(0, 6)(this->Random)) {
     case 0:
-      for (std::size_t Count = 0; Count < this->Nodes.size() / 3; ++Count)
-        this->Nodes[Pick()].CutUntil = Now + Time(2000, 9000);
+      for (std::size_t Count = 0; Count < this->Nodes.size() / 3; ++Count) {
+        Node &Item = this->Nodes[Pick()];
+        Item.CutUntil = Now + Time(2000, 9000);
+        if (std::uniform_int_distribution<>(0, 1)(this->Random))
+          Item.AloneUntil = Item.CutUntil;
+      }
       break;
     case 1:
       for (std::size_t Count = 0; Count < this->Nodes.size() / 2; ++Count)
@@ -139,6 +189,34 @@
     this->start(Index);
   }
 
+  static std::string holderOf(const Node &Item,
+                              const SteeringWorkspace &Workspace) {
+    std::string Best;
+    std::uint64_t BestHash = 0;
+    for (const std::string &Name : Item.Holders) {
+      const std::uint64_t Hash =
+          mixHashes(stableHash(Workspace.Name), stableHash(Name));
+      if (Best.empty() || Hash > BestHash) {
+        Best = Name;
+        BestHash = Hash;
+      }
+    }
+    return Best;
+  }
+
+  Node *find(const std::string &Name) {
+    for (Node &Item : this->Nodes)
+      if (Item.Name == Name)
+        return &Item;
+    return nullptr;
+  }
+
+  bool isLinked(const Node &Left, const Node &Right) const {
+    const Clock::time_point Now = Clock::now();
+    return &Left != &Right && Now >= Left.DownUntil && Now >= Right.DownUntil &&
+           Now >= std::max(Left.AloneUntil, Right.AloneUntil);
+  }
+
   bool reaches(const Node &Item) const {
     return Clock::now() >= std::max(Item.CutUntil, this->StoreDownUntil);
   }
@@ -187,6 +265,7 @@
     MemberRecord Record = testMember(Item.Name, "r-a", Item.View->storeTime());
     Record.ContactSince = Item.View->contactSince();
     Record.Demand = Item.Quotas.demand(Clock::now());
+    Record.PeerAddress = "10.0.1.1:1";
     this->Rows[Item.Name] = Record;
     Item.Tenure.noteWritten(Clock::now(), Clock::now(),
                             Item.View->hasDroppedSelf());
@@ -255,6 +334,39 @@
   CHECK(Admitted.most() <= (200 * 5 + 200) * 1.1 + 20);
 }
 
+// Guards against tokens that are used twice when they are passed on: by two
+// instances that both take themselves for the holder, and by a holder that is
+// cut off with what the others passed to it. Bursts follow times in which
+// tokens can be saved up.
+TEST_CASE("A workspace stays within its rate while instances that pass tokens "
+          "on are cut off, restarted, replaced and paused",
+          "[faults]") {
+  const unsigned Seed = GENERATE(range(1U, 81U));
+  const std::size_t Size = GENERATE(3U, 12U);
+  FaultyFleet Fleet(Seed, Size);
+  SteeringWorkspace Workspace;
+  Workspace.Name = "w";
+  Workspace.Rate = 200;
+  Workspace.Burst = 200;
+  SlidingMost Admitted(5s);
+  for (int Index = 0; Index < 4000; ++Index) {
+    Fleet.step();
+    Fleet.exchangeTokens(Workspace);
+    if (Index % 250 == 249)
+      Fleet.breakSomething();
+    int Count = 0;
+    const bool Saving = Seed % 2 == 0 && Index % 500 < 200;
+    const int Offered = Saving ? 0 : 400 / int(Size) / 50 + 1;
+    for (FaultyFleet::Node &Node : Fleet.Nodes)
+      for (int Request = 0; Request < Offered; ++Request)
+        if (Fleet.serves(Node) && Fleet.admit(Workspace, Node))
+          ++Count;
+    Admitted.add(Count);
+  }
+  CAPTURE(Seed, Size, Admitted.most());
+  CHECK(Admitted.most() <= (200 * 5 + 200) * 1.1 + 20);
+}
+
 // Guards against more senders than a cold server bears, when instances
 // disagree on who they are.
 TEST_CASE("A cold server is not overrun while instances are cut off, "
--- /dev/null
+++ b/src/features/steering/tst_QuotaFleet.cpp
@@ -0,0 +1,55 @@
+#include "steering/QuotaFleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rr;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Size {
+  std::size_t Instances;
+  std::size_t Workspaces;
+  double TotalRate;
+};
+
+QuotaTally playLoad(const QuotaLoad &Load) {
+  QuotaFleet Fleet(Load);
+  Fleet.play(20s);
+  return Fleet.tally();
+}
+
+} // namespace
+
+// Guards against parts of a rate that are too small to be used: a request of a
+// workspace within its rate is refused where it arrives, while other
+// instances have room.
+TEST_CASE("Requests within a workspace's rate are hardly ever refused",
+          "[quota]") {
+  const Size Fleet = GENERATE(Size{9, 8, 500}, Size{84, 84, 3200},
+                              Size{27, 190, 4300}, Size{295, 190, 4300});
+  QuotaLoad Load;
+  Load.Instances = Fleet.Instances;
+  Load.Workspaces = Fleet.Workspaces;
+  Load.TotalRate = Fleet.TotalRate;
+  Load.Demand = 0.5;
+  const QuotaTally Tally = playLoad(Load);
+  CAPTURE(Fleet.Instances, Tally.Wrongful, Tally.Owed, Tally.Messages,
+          Tally.Asked);
+  CHECK(double(Tally.Wrongful) <= 0.005 * double(Tally.Owed));
+}
+
+// Guards against tokens that are used twice when they are passed on.
+TEST_CASE("Workspaces stay within their rates when all send three times as "
+          "much",
+          "[quota]") {
+  QuotaLoad Load;
+  Load.Instances = GENERATE(9U, 27U, 84U);
+  Load.Seed = GENERATE(1U, 2U, 3U);
+  Load.Workspaces = 40;
+  Load.Demand = 3;
+  Load.Bursty = GENERATE(false, true);
+  const QuotaTally Tally = playLoad(Load);
+  CAPTURE(Load.Instances, Load.Seed, Load.Bursty);
+  CHECK(Tally.WorstWindow <= 1);
+}
--- a/src/features/tables/TableRelay.cpp
+++ b/src/features/tables/TableRelay.cpp
@@ -1,8 +1,7 @@
 #include "tables/TableRelay.h"
 
+#include "links/PeerLinks.h"
 #include "logging/EventLog.h"
-#include "peerlink/PeerCoroutines.h"
-#include "peerlink/PeerNode.h"
 
 #include <algorithm>
 
@@ -16,51 +15,14 @@
 constexpr Clock::duration AnswerTime = std::chrono::milliseconds(350);
 /// After a failed call the store is read directly for this long.
 constexpr Clock::duration DirectTime = std::chrono::seconds(5);
-/// Calls come about as often, and show silence sooner.
-constexpr Clock::duration HeartbeatPeriod = std::chrono::seconds(4);
-constexpr Clock::duration DeadAfter = std::chrono::seconds(9);
 
 } // namespace
 
-TableRelay::TableRelay(asio::io_context &Io, const TableStore &Direct,
-                       Options What, Choice Who)
-    : Context(Io), Store(Direct), Chosen(std::move(What)),
-      Chooser(std::move(Who)) {}
-
-TableRelay::~TableRelay() = default;
-
-void TableRelay::start(const std::string &Secret) {
-  if (this->Node || this->Chosen.ListenAddress.empty() || Secret.empty())
-    return;
-  PeerOptions Options;
-  Options.Name = this->Chosen.Name;
-  Options.Zone = this->Chosen.Zone;
-  Options.ListenAddress = this->Chosen.ListenAddress;
-  Options.SharedSecret = Secret;
-  Options.Limits.HeartbeatPeriod = HeartbeatPeriod;
-  Options.Limits.DeadAfter = DeadAfter;
-  auto Started = std::make_unique<PeerNode>(this->Context, Options);
-  Started->onCall(ChangesMethod, [this](IncomingCall Call) {
+TableRelay::TableRelay(PeerLinks &Shared, const TableStore &Direct, Choice Who)
+    : Links(Shared), Store(Direct), Chooser(std::move(Who)) {
+  this->Links.onCall(ChangesMethod, [this](IncomingCall Call) {
     this->answerCall(std::move(Call));
   });
-  if (const auto Listening = Started->start(); !Listening) {
-    logEvent(Event::RelayUnavailable, {{"address", this->Chosen.ListenAddress},
-                                       {"error", Listening.error().message()}});
-    // Tried once: the address stays the same for the life of the process.
-    this->Chosen.ListenAddress.clear();
-    return;
-  }
-  this->Node = std::move(Started);
-}
-
-void TableRelay::stop() {
-  if (this->Node)
-    this->Node->stop();
-  this->Chosen.ListenAddress.clear();
-}
-
-std::uint16_t TableRelay::port() const {
-  return this->Node ? this->Node->port() : 0;
 }
 
 TableStore TableRelay::tables() {
@@ -76,13 +38,13 @@
 TableRelay::readChanges(std::string Name, std::uint64_t After,
                         Clock::duration Wait) {
   Table &Entry = this->Tables[Name];
-  if (Wait > Clock::duration::zero() && this->Node &&
+  if (Wait > Clock::duration::zero() && this->Links.isStarted() &&
       Clock::now() >= Entry.DirectUntil) {
     const auto Peer = this->Chooser(Name);
     if (Peer)
       this->follow(Entry, *Peer);
     // A link that is being made is no failure.
-    if (Peer && this->Node->isLinked(Peer->Name)) {
+    if (Peer && this->Links.isLinked(Peer->Name)) {
       this->answerWaiters(Entry, false);
       RelayQuery Query{Name, After};
       auto Read = co_await this->readRelayed(Entry, std::move(Query), Wait);
@@ -103,8 +65,8 @@
 TableRelay::readRelayed(Table &Entry, RelayQuery Query, Clock::duration Wait) {
   const std::string Peer = Entry.Peer.Name;
   Message Request{ChangesMethod, encodeRelayQuery(Query)};
-  const auto Answer = co_await callPeer(*this->Node, Peer, std::move(Request),
-                                        Clock::now() + Wait + AnswerTime);
+  const auto Answer = co_await this->Links.call(
+      Peer, std::move(Request), Clock::now() + Wait + AnswerTime);
   Outcome<TableRows> Read = failure(Errc::Unavailable);
   if (Answer)
     Read = decodeRelayRows(Answer->Body);
@@ -126,15 +88,12 @@
 void TableRelay::follow(Table &Entry, const RelayPeer &Peer) {
   if (Entry.Peer == Peer)
     return;
-  const std::string Before = std::exchange(Entry.Peer, Peer).Name;
-  const bool Needed = std::any_of(
-      this->Tables.begin(), this->Tables.end(),
-      [&](const auto &Item) { return Item.second.Peer.Name == Before; });
-  if (!Before.empty() && !Needed)
-    this->Node->disconnect(Before);
-  if (const auto Wanted = this->Node->connect(Peer.Name, Peer.Address); !Wanted)
-    logEvent(Event::RelayUnavailable,
-             {{"address", Peer.Address}, {"error", Wanted.error().message()}});
+  Entry.Peer = Peer;
+  PeerLinks::Peers Wanted;
+  for (const auto &Item : this->Tables)
+    if (!Item.second.Peer.Name.empty())
+      Wanted[Item.second.Peer.Name] = Item.second.Peer.Address;
+  this->Links.want(ChangesMethod, std::move(Wanted));
 }
 
 void TableRelay::answerCall(IncomingCall Call) {
--- a/src/features/tables/TableRelay.h
+++ b/src/features/tables/TableRelay.h
@@ -9,18 +9,16 @@
 #include "tables/TableStore.h"
 
 #include <asio/awaitable.hpp>
-#include <asio/io_context.hpp>
 
 #include <functional>
 #include <map>
-#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 namespace rr {
 
-class PeerNode;
+class PeerLinks;
 
 /// Lets one instance read a table of the store for several. An instance
 /// passes the changes on when one of its own reads ends. Whoever does not get
@@ -28,33 +26,18 @@
 /// delays the others by part of one period only.
 class TableRelay {
 public:
-  struct Options {
-    std::string Name;
-    std::string Zone;
-    /// Where the other instances connect, IP:PORT; without one nothing is
-    /// relayed.
-    std::string ListenAddress;
-  };
   /// Chooses who reads \p Table for this instance; none for itself.
   using Choice = std::function<std::optional<RelayPeer>(const std::string &)>;
 
-  TableRelay(asio::io_context &Context, const TableStore &Store, Options Chosen,
-             Choice Chooser);
-  ~TableRelay();
+  /// \p Links outlive the relay and are not started yet.
+  TableRelay(PeerLinks &Links, const TableStore &Store, Choice Chooser);
   TableRelay(const TableRelay &) = delete;
   TableRelay &operator=(const TableRelay &) = delete;
 
-  /// Begins to listen with the secret that all instances share. Without it
-  /// every read goes to the store.
-  void start(const std::string &Secret);
-  bool isStarted() const { return this->Node != nullptr; }
-  void stop();
-
   /// The store, with reads of changes through other instances. A read that
   /// must not wait goes to the store itself.
   TableStore tables();
 
-  std::uint16_t port() const;
   /// Reads that another instance answered.
   std::uint64_t relayedReads() const { return this->Relayed; }
 
@@ -80,11 +63,9 @@
   void answerWaiters(Table &Entry, bool Current);
   void follow(Table &Entry, const RelayPeer &Peer);
 
-  asio::io_context &Context;
+  PeerLinks &Links;
   const TableStore &Store;
-  Options Chosen;
   Choice Chooser;
-  std::unique_ptr<PeerNode> Node;
   std::map<std::string, Table> Tables;
   std::uint64_t Relayed = 0;
 };
--- a/src/features/tables/tst_TableRelay.cpp
+++ b/src/features/tables/tst_TableRelay.cpp
@@ -1,3 +1,4 @@
+#include "links/PeerLinks.h"
 #include "tables/FakeTables.h"
 #include "tables/TableRelay.h"
 #include "tables/TableWatch.h"
@@ -17,13 +18,14 @@
 struct Reader {
   Reader(TestLoop &Loop, const std::string &Name, TableStore Direct)
       : Direct(std::move(Direct)),
-        Relay(Loop.context(), this->Direct, {Name, "z", "127.0.0.1:0"},
+        Links(Loop.context(), {Name, "z", "127.0.0.1:0"}),
+        Relay(this->Links, this->Direct,
               [this](const std::string &) { return this->Peer; }),
         Store(this->Relay.tables()),
         Watch(Loop.context(), this->Store, {"t", 1s, 1s},
               {[this](const TableRows &Rows) { this->apply(Rows); },
                [this](const TableRows &Rows) { this->apply(Rows); }, nullptr}) {
-    this->Relay.start("secret");
+    this->Links.start("secret");
     Loop.spawn(
         [this]() -> asio::awaitable<void> { co_await this->Watch.run(); });
   }
@@ -38,6 +40,7 @@
 
   TableStore Direct;
   std::optional<RelayPeer> Peer;
+  PeerLinks Links;
   TableRelay Relay;
   TableStore Store;
   TableWatch Watch;
@@ -48,14 +51,14 @@
 struct RelayBed {
   RelayBed() {
     this->Second.Peer = RelayPeer{
-        "first", "127.0.0.1:" + std::to_string(this->First.Relay.port())};
+        "first", "127.0.0.1:" + std::to_string(this->First.Links.port())};
     this->advance(3s);
   }
   ~RelayBed() {
     this->First.Watch.stop();
     this->Second.Watch.stop();
-    this->First.Relay.stop();
-    this->Second.Relay.stop();
+    this->First.Links.stop();
+    this->Second.Links.stop();
     this->advance(5s);
   }
 
@@ -149,7 +152,7 @@
   Bed.Tables.put("t", "a", "1");
   Bed.advance(2500ms);
   CHECK(Bed.Second.Seen.count("a"));
-  Bed.First.Relay.stop();
+  Bed.First.Links.stop();
   Bed.Tables.put("t", "b", "1");
   Bed.advance(1500ms);
   CHECK(Bed.Second.Seen.count("b"));
@@ -162,7 +165,7 @@
   RelayBed Bed;
   Reader Third(Bed.Loop, "third", Bed.Tables.tables());
   Third.Peer = RelayPeer{"second", "127.0.0.1:" +
-                                       std::to_string(Bed.Second.Relay.port())};
+                                       std::to_string(Bed.Second.Links.port())};
   Bed.advance(1s);
   Bed.Tables.put("t", "a", "1");
   Bed.advance(1500ms);
@@ -176,7 +179,7 @@
   CHECK(Third.Seen == Bed.First.Seen);
   CHECK(Third.Relay.relayedReads() > 0);
   Third.Watch.stop();
-  Third.Relay.stop();
+  Third.Links.stop();
   Bed.advance(3s);
 }
 
--- a/src/libs/http1/HttpServer.h
+++ b/src/libs/http1/HttpServer.h
@@ -15,14 +15,16 @@
 
 namespace rr {
 
-/// HTTP/1.1 server with one coroutine a connection. Malformed requests are
+/// HTTP/1.1 server with one HttpSession a connection. Malformed requests are
 /// answered with 400, 408, 413 or 431 and a close; a client that leaves
-/// cancels its request.
+/// cancels its requests.
 class HttpServer {
 public:
   using Handler =
       std::function<asio::awaitable<HttpMessage>(HttpMessage, CancellationPtr)>;
 
+  using Predicate = std::function<bool(const HttpMessage &)>;
+
   HttpServer(asio::io_context &Context, Handler Answer);
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
@@ -34,6 +36,9 @@
   std::uint16_t port() const;
 
   void setLimits(const ServerLimits &Limits);
+  /// Requests that may run while earlier ones of their connection run; none
+  /// before this is set.
+  void setRunsAhead(Predicate Allowed);
   /// Every further answer announces that its connection ends.
   void closeAfterAnswers();
   /// Stops accepting; open connections go on.
@@ -42,7 +47,7 @@
   void closeIdle();
 
   std::size_t connections() const;
-  /// Requests that are being read or have no answer yet.
+  /// Connections with a request that is being read or has no answer yet.
   std::size_t activeRequests() const;
 
 private:
