Read orders and whole tables through other instances, keep standbys out of the store, and settle tables together

Change: an instance first reads who is there; when a whole fleet starts, the large ones come forward first. A standby writes no row, and reads orders, entries and whole tables through instances in service. Orders are followed through one reader of each region; what it passes on proves no more than it knew (the time of its own proof, against the arrival of the query).

Its table of servers was read 0.5 s after its table of orders, and entries that were missing had 2.2 s more from then on. Ruled out: the new rates (the request was placed by an entry). Change: the store is back for all tables when it is back for one, the others are then read at once. Test: tst_SteeringInstance.

--- a/src/features/gateway/MemberRegistry.cpp
+++ b/src/features/gateway/MemberRegistry.cpp
@@ -62,7 +62,18 @@
     this->State.Tenure.noteFound(Rows.StoreTime - Own->second.WrittenAt, Now);
 }
 
+bool MemberRegistry::isNamedToOthers() const {
+  if (this->WroteInService)
+    return true;
+  const auto &Records = this->State.Members.records();
+  const auto Own = Records.find(this->State.Settings.Name);
+  return Own != Records.end() && !Own->second.Standby &&
+         Own->second.WrittenAt + MemberView::LiveTime >
+             this->State.Members.storeTime();
+}
+
 void MemberRegistry::noteOwnRow(Clock::time_point Start, bool Standby) {
+  this->WroteInService = !Standby;
   if (Standby)
     this->State.Tenure.release();
   else
--- a/src/features/gateway/MemberRegistry.h
+++ b/src/features/gateway/MemberRegistry.h
@@ -34,6 +34,9 @@
   /// This instance's row. When the last one has grown old, the others are
   /// given time to renew theirs.
   TableWrite ownRow(Clock::time_point Now);
+  /// The others may count on this instance, or send callers to it, by a row
+  /// that it has written or that an earlier run left.
+  bool isNamedToOthers() const;
   /// A new secret for the links between instances, if there is none yet.
   TableWrite secretRow() const;
   /// The row with the state of a move, under the condition that nobody has
@@ -57,6 +60,8 @@
 
   SteeringState &State;
   std::string Incarnation;
+  /// The last row that was written says that this instance is in service.
+  bool WroteInService = false;
   /// The store's clock at the last read, and when that was.
   Clock::duration ReadStoreTime{0};
   Clock::time_point ReadAt{};
--- a/src/features/gateway/QuotaExchange.cpp
+++ b/src/features/gateway/QuotaExchange.cpp
@@ -18,8 +18,8 @@
 
 constexpr Clock::duration PassPeriod = std::chrono::milliseconds(200);
 /// Several round trips in a region; a request waits no longer.
-constexpr Clock::duration AskTime = std::chrono::milliseconds(100);
-constexpr Clock::duration AvoidTime = std::chrono::seconds(1);
+constexpr Clock::duration AskTime = std::chrono::milliseconds(200);
+constexpr Clock::duration AvoidTime = std::chrono::milliseconds(500);
 /// A workspace that has used up its rate does not ask for each request.
 constexpr Clock::duration LeastEmptyTime = std::chrono::milliseconds(20);
 constexpr Clock::duration LongestEmptyTime = std::chrono::milliseconds(200);
--- a/src/features/gateway/SteeringInstance.cpp
+++ b/src/features/gateway/SteeringInstance.cpp
@@ -24,6 +24,9 @@
 /// standby.
 constexpr Clock::duration OldestOrders = std::chrono::milliseconds(2600);
 constexpr Clock::duration AnnouncePeriod = std::chrono::milliseconds(2400);
+constexpr Clock::duration BeginPoll = std::chrono::milliseconds(10);
+/// A fleet that starts has written its rows within this time.
+constexpr Clock::duration FleetStartTime = std::chrono::seconds(2);
 /// A standby is ready for this long after a read.
 constexpr Clock::duration StandbyReadyTime = std::chrono::seconds(20);
 constexpr Clock::duration CatchUpRetry = std::chrono::milliseconds(300);
@@ -82,28 +85,29 @@
             }),
       RelayedStore(this->Relay.tables()),
       OrderTable(
-          Io, this->Store,
+          Io, this->RelayedStore,
           {this->Codec.OrderTable, OrderWait, Clock::duration{0}},
           {[this](const TableRows &Rows) { this->Orders.applySnapshot(Rows); },
            [this](const TableRows &Rows) { this->Orders.applyChanges(Rows); },
-           [this](Clock::time_point AsOf) { this->Orders.confirm(AsOf); }}),
+           [this](Clock::time_point AsOf) { this->Orders.confirm(AsOf); },
+           [this] { this->noteStoreReturned(); }}),
       BackendTable(Io, this->RelayedStore,
                    {this->Codec.BackendTable, BackendPeriod, BackendPeriod},
                    {[this](const TableRows &Rows) {
-                      this->Backends.applySnapshot(
-                          Rows, this->BackendTable.isSettling(), Clock::now());
+                      this->Backends.applySnapshot(Rows, this->isSettling(),
+                                                   Clock::now());
                     },
                     [this](const TableRows &Rows) {
-                      this->Backends.applyChanges(
-                          Rows, this->BackendTable.isSettling(), Clock::now());
+                      this->Backends.applyChanges(Rows, this->isSettling(),
+                                                  Clock::now());
                     },
-                    nullptr}),
+                    nullptr, [this] { this->noteStoreReturned(); }}),
       MemberTable(
           Io, this->RelayedStore,
           {MemberRegistry::Table, MemberPeriod, MemberPeriod},
           {[this](const TableRows &Rows) { this->Members.applySnapshot(Rows); },
            [this](const TableRows &Rows) { this->Members.applyChanges(Rows); },
-           nullptr}),
+           nullptr, [this] { this->noteStoreReturned(); }}),
       AnnounceTimer(Io) {
   this->Callers.setRunsAhead([this](const HttpMessage &Request) {
     const std::string *Host = findHeader(Request.Headers, "Host");
@@ -122,6 +126,20 @@
   const auto WakeUp = [this](const std::string &) {
     this->AnnounceTimer.cancel();
   };
+  this->Relay.setPrompt(this->Codec.OrderTable);
+  this->Relay.setSnapshotSource(
+      {[this] {
+         return this->State.Standby &&
+                (this->State.PeerSecret.empty() ||
+                 this->State.Members.servingPeer(this->State.Settings.Region));
+       },
+       [this]() -> std::optional<RelayPeer> {
+         const MemberRecord *Peer =
+             this->State.Members.servingPeer(this->State.Settings.Region);
+         if (!Peer)
+           return std::nullopt;
+         return RelayPeer{Peer->Name, Peer->PeerAddress};
+       }});
   this->Requests.onVersionStopped(WakeUp);
   this->Members.onVersionStopped(WakeUp);
 }
@@ -148,14 +166,41 @@
       !this->MetricReads.listen(Settings.MetricsAddress))
     logEvent(Event::MetricsUnavailable, {{"address", Settings.MetricsAddress}});
   this->StartedAt = Clock::now();
-  asio::co_spawn(this->Context, this->OrderTable.run(), asio::detached);
-  asio::co_spawn(this->Context, this->BackendTable.run(), asio::detached);
   asio::co_spawn(this->Context, this->MemberTable.run(), asio::detached);
-  asio::co_spawn(this->Context, this->announce(), asio::detached);
   asio::co_spawn(this->Context, this->maintain(), asio::detached);
+  asio::co_spawn(this->Context, this->begin(), asio::detached);
   return {};
 }
 
+asio::awaitable<void> SteeringInstance::begin() {
+  while (!this->State.MembersKnown && !this->Stopped)
+    co_await sleepFor(BeginPoll);
+  // When a whole fleet starts, the large instances come forward first, so that
+  // the others learn that they are not needed before they do anything.
+  const GatewaySettings &Settings = this->State.Settings;
+  if (!this->State.Members.knowsZone(Settings.Zone)) {
+    co_await sleepFor(
+        part(FleetStartTime, 1 - std::clamp(Settings.Capacity, 0.0, 1.0)));
+    co_await this->MemberTable.refresh();
+  }
+  this->reviewStandby(Clock::now());
+  asio::co_spawn(this->Context, this->OrderTable.run(), asio::detached);
+  asio::co_spawn(this->Context, this->BackendTable.run(), asio::detached);
+  co_await this->announce();
+}
+
+void SteeringInstance::noteStoreReturned() {
+  for (TableWatch *Table :
+       {&this->OrderTable, &this->BackendTable, &this->MemberTable})
+    Table->retrySoon();
+}
+
+bool SteeringInstance::isSettling() const {
+  return this->BackendTable.contact().isSettling(
+      Clock::now(),
+      {&this->OrderTable.contact(), &this->MemberTable.contact()});
+}
+
 bool SteeringInstance::isReady() const {
   if (!this->State.Config || !this->State.BackendsKnown ||
       !this->State.MembersKnown || this->State.Leaving)
@@ -282,15 +327,23 @@
       Addresses, this->State.Settings.Bounds.LookupLifetime);
 }
 
+asio::awaitable<void> SteeringInstance::writeSecret() {
+  std::vector<TableWrite> Writes;
+  Writes.push_back(this->Members.secretRow());
+  // Another instance may write one first, which is then read.
+  const auto Written = co_await this->Store.Commit(std::move(Writes));
+  if (!Written && Written.error() != make_error_code(Errc::Conflict))
+    logEvent(Event::OwnRowNotWritten, {{"error", Written.error().message()}});
+}
+
 asio::awaitable<void> SteeringInstance::announce() {
   while (!this->Stopped) {
     bool Failed = false;
-    if (this->State.MembersKnown) {
-      this->reviewStandby(Clock::now());
+    this->reviewStandby(Clock::now());
+    // Nobody needs to know of an instance that stands by.
+    if (!this->State.Standby || this->Members.isNamedToOthers()) {
       std::vector<TableWrite> Writes;
       Writes.push_back(this->Members.ownRow(Clock::now()));
-      if (this->State.PeerSecret.empty() && this->Moves.isLeader())
-        Writes.push_back(this->Members.secretRow());
       const bool Standby = this->State.Standby;
       const Clock::time_point Start = bootTime();
       const auto Written = co_await this->Store.Commit(std::move(Writes));
@@ -300,6 +353,8 @@
       else
         logEvent(Event::OwnRowNotWritten,
                  {{"error", Written.error().message()}});
+      if (Written && this->State.PeerSecret.empty() && this->Moves.isLeader())
+        co_await this->writeSecret();
       if (Written && this->State.Config && this->State.BackendsKnown)
         co_await this->Moves.step();
     }
@@ -320,14 +375,17 @@
   while (!this->Stopped) {
     const Clock::time_point Now = Clock::now();
     this->Requests.links().dropExpired();
+    const bool WasStarted = this->Links.isStarted();
     this->Links.start(this->State.PeerSecret);
+    if (!WasStarted && this->Links.isStarted())
+      this->applyPace(this->Moves.isBusy());
     // A standby judges the others as of its last read.
     if (!this->State.Standby)
       this->Members.advanceStoreTime(Now);
     this->reviewStandby(Now);
     this->Quotas.maintain(Now);
     this->State.ColdServers.expire(Now);
-    this->Backends.settle(this->BackendTable.isSettling());
+    this->Backends.settle(this->isSettling());
     if (this->State.Config)
       for (const auto &Item : this->State.Config->Services)
         this->State.Versions[Item.first].notePresent(
--- a/src/features/gateway/SteeringInstance.h
+++ b/src/features/gateway/SteeringInstance.h
@@ -59,10 +59,17 @@
   asio::awaitable<bool> catchUp();
   asio::awaitable<void> refresh(TableWatch &Table);
   bool isCurrent(Clock::time_point Now) const;
+  /// The store answers again for one table.
+  void noteStoreReturned();
+  /// Entries of servers that are missing may come back.
+  bool isSettling() const;
   asio::awaitable<HttpMessage> answerReadiness(HttpMessage Request);
   asio::awaitable<HttpMessage> answerMetrics(HttpMessage Request);
   asio::awaitable<HttpMessage> answerLookup(HttpMessage Request);
+  /// Finds out whether callers will come here, and then reads and writes.
+  asio::awaitable<void> begin();
   asio::awaitable<void> announce();
+  asio::awaitable<void> writeSecret();
   asio::awaitable<void> maintain();
   asio::awaitable<void> finish(std::function<void()> Done);
   /// Until this instance shares the sums; endless when it does, or may not.
--- a/src/features/gateway/SteeringStandby.cpp
+++ b/src/features/gateway/SteeringStandby.cpp
@@ -76,9 +76,12 @@
 
 void SteeringInstance::applyPace(bool Busy) {
   if (this->State.Standby) {
-    this->OrderTable.setPace(Clock::duration{0}, StandbyPeriod);
+    this->OrderTable.setPace(OrderWait, StandbyPeriod);
     this->BackendTable.setPace(BackendPeriod, StandbyPeriod);
-    this->MemberTable.setPace(MemberPeriod, StandbyMemberPeriod);
+    // Without the secret nothing can be read through others.
+    this->MemberTable.setPace(MemberPeriod, this->State.PeerSecret.empty()
+                                                ? StartPeriod
+                                                : StandbyMemberPeriod);
     this->Members.setReadPeriod(StandbyMemberPeriod);
     return;
   }
--- a/src/features/gateway/tst_Standby.cpp
+++ b/src/features/gateway/tst_Standby.cpp
@@ -224,7 +224,7 @@
           "that left while it did not look",
           "[standby]") {
   StandbyBed B;
-  B.advance(8s);
+  B.advance(4s);
   B.configure(7, {"newkey"});
   B.Tables.erase("backends", "b1");
   B.advance(100ms);
--- a/src/features/gateway/tst_SteeringInstance.cpp
+++ b/src/features/gateway/tst_SteeringInstance.cpp
@@ -190,6 +190,25 @@
   CHECK(B.Backends.at("b1").Requests.size() == Before);
 }
 
+// Guards against a server that left long ago and gets requests until its
+// table, the last one to be read after an outage, has settled.
+TEST_CASE("A server that left during an outage is gone soon after the store "
+          "answers for any table",
+          "[instance]") {
+  Bed B;
+  B.start();
+  B.Tables.Down = true;
+  B.advance(4s);
+  B.Tables.erase("backends", "b1");
+  B.Tables.Down = false;
+  B.Tables.DownTables = {"backends"};
+  B.advance(1700ms);
+  B.Tables.DownTables.clear();
+  B.advance(1500ms);
+  CHECK_FALSE(B.Instance->state().Backends.find("b1"));
+  CHECK(B.Instance->state().Backends.find("b2"));
+}
+
 TEST_CASE("Rows that changed while history was dropped are found",
           "[instance]") {
   Bed B;
--- a/src/features/links/PeerLinks.h
+++ b/src/features/links/PeerLinks.h
@@ -44,6 +44,8 @@
   void onCall(const std::string &Method, CallHandler Handler);
   void onMessage(const std::string &Method, MessageHandler Handler);
 
+  asio::io_context &context() { return this->Context; }
+
   /// Begins to listen with the secret that all instances share.
   void start(const std::string &Secret);
   bool isStarted() const { return this->Node != nullptr; }
--- a/src/features/steering/MemberView.cpp
+++ b/src/features/steering/MemberView.cpp
@@ -159,6 +159,31 @@
   return Best && Best->Name != this->Self ? Best : nullptr;
 }
 
+bool MemberView::knowsZone(const std::string &Zone) const {
+  return std::any_of(
+      this->Records.begin(), this->Records.end(), [&](const auto &Item) {
+        return Item.first != this->Self && Item.second.Zone == Zone &&
+               this->mayServe(Item.second);
+      });
+}
+
+const MemberRecord *MemberView::servingPeer(const std::string &Region) const {
+  const MemberRecord *Best = nullptr;
+  std::uint64_t BestHash = 0;
+  for (const auto &[Name, Record] : this->Records) {
+    const std::uint64_t Hash =
+        mixHashes(stableHash(this->Self), stableHash(Name));
+    if (Name != this->Self && Record.Region == Region && !Record.Standby &&
+        !Record.Joining && !Record.PeerAddress.empty() &&
+        this->isLive(Record) && this->isActive(Record) &&
+        (!Best || Hash > BestHash)) {
+      Best = &Record;
+      BestHash = Hash;
+    }
+  }
+  return Best;
+}
+
 std::vector<std::string> MemberView::live() const {
   std::vector<std::string> Names;
   for (const auto &[Name, Record] : this->Records)
--- a/src/features/steering/MemberView.h
+++ b/src/features/steering/MemberView.h
@@ -72,6 +72,12 @@
   const MemberRecord *readerFor(const std::string &Region,
                                 const std::string &Table) const;
 
+  /// Whether any other instance of the availability zone may serve.
+  bool knowsZone(const std::string &Zone) const;
+  /// An instance of \p Region that serves callers, chosen so that different
+  /// ones that ask are spread; null when there is none.
+  const MemberRecord *servingPeer(const std::string &Region) const;
+
   /// This instance's part of a workspace's rate, 0 to 1. Follows the demand
   /// that the instances have published, this one included, so that the parts
   /// of all add up to one even while demand changes.
--- a/src/features/tables/FakeTables.cpp
+++ b/src/features/tables/FakeTables.cpp
@@ -15,7 +15,7 @@
   Store.ReadTable =
       [this](std::string Table) -> asio::awaitable<Outcome<TableRows>> {
     ++this->Calls;
-    if (this->Down)
+    if (this->Down || this->DownTables.contains(Table))
       co_return failure(Errc::Unavailable);
     co_return this->rowsAfter(Table, 0, false);
   };
@@ -40,7 +40,7 @@
   this->LastWait = Wait;
   const Clock::time_point End = Clock::now() + Wait;
   for (;;) {
-    if (this->Down)
+    if (this->Down || this->DownTables.contains(Table))
       co_return failure(Errc::Unavailable);
     if (After < this->OldestHistory)
       co_return failure(Errc::Stale);
--- a/src/features/tables/FakeTables.h
+++ b/src/features/tables/FakeTables.h
@@ -4,6 +4,7 @@
 #include "tables/TableStore.h"
 
 #include <map>
+#include <set>
 #include <string>
 
 namespace rr {
@@ -25,6 +26,8 @@
 
   /// Every call fails without effect.
   bool Down = false;
+  /// Reads of these tables fail.
+  std::set<std::string> DownTables;
   /// Writes fail without effect, reads do not.
   bool RefuseWrites = false;
   int Calls = 0;
--- a/src/features/tables/RelayMessages.cpp
+++ b/src/features/tables/RelayMessages.cpp
@@ -35,21 +35,24 @@
                     (*Value)[1].get<std::uint64_t>()};
 }
 
-std::string encodeRelayRows(const TableRows &Rows) {
+std::string encodeRelayAnswer(const RelayAnswer &Answer) {
+  const TableRows &Rows = Answer.Rows;
   json Items = json::array();
   for (const TableRow &Row : Rows.Rows)
     Items.push_back(json::array(
         {bytesOf(Row.Key), bytesOf(Row.Value), Row.Version, Row.Deleted}));
   return encodeBody(
-      json::array({Rows.Version, Rows.StoreTime.count(), std::move(Items)}));
+      json::array({Rows.Version, Rows.StoreTime.count(), std::move(Items),
+                   Answer.AsOfArrival.count()}));
 }
 
-Outcome<TableRows> decodeRelayRows(const std::string &Body) {
+Outcome<RelayAnswer> decodeRelayAnswer(const std::string &Body) {
   const auto Value = decodeBody(Body);
   if (!Value)
     return tl::unexpected<std::error_code>(Value.error());
   try {
-    TableRows Result;
+    RelayAnswer Answer;
+    TableRows &Result = Answer.Rows;
     Value->at(0).get_to(Result.Version);
     Result.StoreTime = Clock::duration(Value->at(1).get<Clock::rep>());
     for (const json &Item : Value->at(2)) {
@@ -60,7 +63,8 @@
       Item.at(3).get_to(Row.Deleted);
       Result.Rows.push_back(std::move(Row));
     }
-    return Result;
+    Answer.AsOfArrival = Clock::duration(Value->at(3).get<Clock::rep>());
+    return Answer;
   } catch (const json::exception &) {
     return failure(Errc::Malformed);
   }
--- a/src/features/tables/RelayMessages.h
+++ b/src/features/tables/RelayMessages.h
@@ -14,11 +14,19 @@
   std::uint64_t After = 0;
 };
 
+/// The answer to a query.
+struct RelayAnswer {
+  TableRows Rows;
+  /// From the arrival of the query until all changes were known; negative
+  /// when that was before it.
+  Clock::duration AsOfArrival{0};
+};
+
 /// Bodies of relay messages. The readers return Errc::Malformed.
 std::string encodeRelayQuery(const RelayQuery &Query);
 Outcome<RelayQuery> decodeRelayQuery(const std::string &Body);
-std::string encodeRelayRows(const TableRows &Rows);
-Outcome<TableRows> decodeRelayRows(const std::string &Body);
+std::string encodeRelayAnswer(const RelayAnswer &Answer);
+Outcome<RelayAnswer> decodeRelayAnswer(const std::string &Body);
 
 } // namespace rr
 
--- a/src/features/tables/StoreContact.cpp
+++ b/src/features/tables/StoreContact.cpp
@@ -21,8 +21,10 @@
 void StoreContact::succeeded(Clock::time_point Now) {
   const bool Known = this->LastSuccess != Clock::time_point{};
   // A gap without a failed call is the reader's own pause.
-  if (Known && this->Failures > 0 && Now - this->LastSuccess > LapseGap)
+  if (Known && this->Failures > 0 && Now - this->LastSuccess > LapseGap) {
     this->SettledAt = Now + SettlingTime;
+    this->LostAt = this->LastSuccess;
+  }
   if (this->Failures > 0)
     logEvent(
         Event::StoreAvailable,
@@ -31,6 +33,16 @@
   this->LastSuccess = Now;
 }
 
+bool StoreContact::isSettling(
+    Clock::time_point Now,
+    const std::vector<const StoreContact *> &Others) const {
+  Clock::time_point Earliest = this->SettledAt;
+  for (const StoreContact *Other : Others)
+    if (Other->SettledAt > this->LostAt + SettlingTime)
+      Earliest = std::min(Earliest, Other->SettledAt);
+  return Now < Earliest;
+}
+
 Clock::duration StoreContact::failed(Clock::time_point Now, double Jitter) {
   if (this->Failures++ == 0)
     logEvent(Event::StoreUnavailable, {{"table", this->Table}});
--- a/src/features/tables/StoreContact.h
+++ b/src/features/tables/StoreContact.h
@@ -4,6 +4,7 @@
 #include "base/Clock.h"
 
 #include <string>
+#include <vector>
 
 namespace rr {
 
@@ -21,10 +22,16 @@
   /// Entries may have lapsed while the store was away, and come back shortly
   /// after.
   bool isSettling(Clock::time_point Now) const { return Now < this->SettledAt; }
+  /// The same for this table when \p Others are followed as well: the store
+  /// is back for all tables when it is back for one.
+  bool isSettling(Clock::time_point Now,
+                  const std::vector<const StoreContact *> &Others) const;
 
 private:
   std::string Table;
   Clock::time_point LastSuccess{};
+  /// The last success before the last gap.
+  Clock::time_point LostAt{};
   Clock::time_point SettledAt{};
   int Failures = 0;
 };
--- a/src/features/tables/TableRelay.cpp
+++ b/src/features/tables/TableRelay.cpp
@@ -1,7 +1,12 @@
 #include "tables/TableRelay.h"
 
+#include "base/Timer.h"
 #include "links/PeerLinks.h"
 #include "logging/EventLog.h"
+#include "tables/BootTime.h"
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
 
 #include <algorithm>
 
@@ -10,11 +15,18 @@
 namespace {
 
 const std::string ChangesMethod = "changes";
+const std::string SnapshotMethod = "snapshot";
 /// Beyond the time that a read may wait; the other instance's own read and
 /// the way between regions fit in.
 constexpr Clock::duration AnswerTime = std::chrono::milliseconds(350);
 /// After a failed call the store is read directly for this long.
 constexpr Clock::duration DirectTime = std::chrono::seconds(5);
+/// A whole table is waited for from another instance for this long.
+constexpr Clock::duration SnapshotWait = std::chrono::seconds(3);
+constexpr Clock::duration SnapshotTime = std::chrono::milliseconds(1500);
+constexpr Clock::duration SnapshotPoll = std::chrono::milliseconds(100);
+/// One read serves all that ask within this time.
+constexpr Clock::duration SnapshotAge = std::chrono::seconds(1);
 
 } // namespace
 
@@ -23,6 +35,9 @@
   this->Links.onCall(ChangesMethod, [this](IncomingCall Call) {
     this->answerCall(std::move(Call));
   });
+  this->Links.onCall(SnapshotMethod, [this](IncomingCall Call) {
+    this->answerSnapshotCall(std::move(Call));
+  });
 }
 
 TableStore TableRelay::tables() {
@@ -31,9 +46,102 @@
                               Clock::duration Wait) {
     return this->readChanges(std::move(Name), After, Wait);
   };
+  Result.ReadTable = [this](std::string Name) {
+    return this->readTable(std::move(Name));
+  };
   return Result;
 }
 
+asio::awaitable<Outcome<TableRows>> TableRelay::readTable(std::string Name) {
+  const std::string User = SnapshotMethod + " " + Name;
+  const Clock::time_point End = Clock::now() + SnapshotWait;
+  Outcome<TableRows> Read = failure(Errc::Unavailable);
+  while (this->Snapshots.Wanted && this->Snapshots.Wanted() &&
+         Clock::now() < End) {
+    const auto Peer = this->Snapshots.Choose();
+    if (Peer) {
+      this->Links.want(User, {{Peer->Name, Peer->Address}});
+      if (this->Links.isLinked(Peer->Name)) {
+        Read = co_await this->readSnapshot(Name, Peer->Name);
+        break;
+      }
+    }
+    co_await sleepFor(SnapshotPoll);
+  }
+  this->Links.want(User, {});
+  if (Read)
+    co_return Read;
+  co_return co_await this->Store.ReadTable(std::move(Name));
+}
+
+asio::awaitable<Outcome<TableRows>> TableRelay::readSnapshot(std::string Name,
+                                                             std::string Peer) {
+  const Clock::time_point Start = bootTime();
+  Message Request{SnapshotMethod, encodeRelayQuery({Name, 0})};
+  const auto Answer = co_await this->Links.call(Peer, std::move(Request),
+                                                Clock::now() + SnapshotTime);
+  auto Decoded = Answer ? decodeRelayAnswer(Answer->Body)
+                        : tl::unexpected<std::error_code>(Answer.error());
+  if (!Decoded) {
+    logEvent(Event::RelayFailed, {{"table", Name},
+                                  {"instance", Peer},
+                                  {"error", Decoded.error().message()}});
+    co_return tl::unexpected<std::error_code>(Decoded.error());
+  }
+  ++this->Relayed;
+  Decoded->Rows.Relayed = true;
+  Decoded->Rows.AsOf = Start + Decoded->AsOfArrival;
+  co_return std::move(Decoded->Rows);
+}
+
+void TableRelay::answerSnapshotCall(IncomingCall Call) {
+  const auto Query = decodeRelayQuery(Call.Request.Body);
+  if (!Query) {
+    Call.Answer(failure(Errc::Malformed));
+    return;
+  }
+  // Only what this instance follows itself, and not while it waits for others.
+  const auto Found = this->Tables.find(Query->Table);
+  if (Found == this->Tables.end() ||
+      (this->Snapshots.Wanted && this->Snapshots.Wanted())) {
+    Call.Answer(failure(Errc::Unavailable));
+    return;
+  }
+  Table &Entry = Found->second;
+  const Waiter Item{*Query, std::move(Call), bootTime()};
+  if (Entry.Snapshot) {
+    answerSnapshot(Entry, Item);
+    return;
+  }
+  Entry.SnapshotWaiters.push_back(Item);
+  if (Entry.SnapshotWaiters.size() == 1)
+    asio::co_spawn(this->Links.context(), this->readForOthers(Query->Table),
+                   asio::detached);
+}
+
+asio::awaitable<void> TableRelay::readForOthers(std::string Name) {
+  Table &Entry = this->Tables[Name];
+  const Clock::time_point Start = bootTime();
+  auto Read = co_await this->Store.ReadTable(Name);
+  if (Read) {
+    Entry.Snapshot = std::move(*Read);
+    Entry.SnapshotAsOf = Start;
+  }
+  for (const Waiter &Item : std::exchange(Entry.SnapshotWaiters, {}))
+    if (Entry.Snapshot)
+      answerSnapshot(Entry, Item);
+    else
+      Item.Call.Answer(failure(Errc::Unavailable));
+  co_await sleepFor(SnapshotAge);
+  Entry.Snapshot.reset();
+}
+
+void TableRelay::answerSnapshot(const Table &Entry, const Waiter &Item) {
+  const RelayAnswer Answer{*Entry.Snapshot,
+                           Entry.SnapshotAsOf - Item.ArrivedAt};
+  Item.Call.Answer(Message{SnapshotMethod, encodeRelayAnswer(Answer)});
+}
+
 asio::awaitable<Outcome<TableRows>>
 TableRelay::readChanges(std::string Name, std::uint64_t After,
                         Clock::duration Wait) {
@@ -54,9 +162,12 @@
       Wait = Clock::duration::zero();
     }
   }
+  const Clock::time_point Start = bootTime();
   auto Read = co_await this->Store.ReadChanges(Name, After, Wait);
-  if (Read)
+  if (Read) {
     Entry.Log.append(After, *Read, Clock::now());
+    Entry.AsOf = std::max(Entry.AsOf, provenTime(*Read, Start, Wait));
+  }
   this->answerWaiters(Entry, Read.has_value());
   co_return Read;
 }
@@ -64,14 +175,20 @@
 asio::awaitable<Outcome<TableRows>>
 TableRelay::readRelayed(Table &Entry, RelayQuery Query, Clock::duration Wait) {
   const std::string Peer = Entry.Peer.Name;
+  const Clock::time_point Start = bootTime();
   Message Request{ChangesMethod, encodeRelayQuery(Query)};
   const auto Answer = co_await this->Links.call(
       Peer, std::move(Request), Clock::now() + Wait + AnswerTime);
   Outcome<TableRows> Read = failure(Errc::Unavailable);
-  if (Answer)
-    Read = decodeRelayRows(Answer->Body);
-  else
-    Read = tl::unexpected<std::error_code>(Answer.error());
+  const auto Decoded = Answer ? decodeRelayAnswer(Answer->Body)
+                              : tl::unexpected<std::error_code>(Answer.error());
+  if (Decoded) {
+    Read = Decoded->Rows;
+    // The query arrived there later than it was sent.
+    Read->AsOf = Start + Decoded->AsOfArrival;
+  } else {
+    Read = tl::unexpected<std::error_code>(Decoded.error());
+  }
   if (Read) {
     ++this->Relayed;
     Read->Relayed = true;
@@ -108,20 +225,32 @@
     Call.Answer(failure(Errc::Unavailable));
     return;
   }
-  Found->second.Waiters.push_back({*Query, std::move(Call)});
+  const Waiter Item{*Query, std::move(Call), bootTime()};
+  // What is there already does not wait for the next read.
+  const auto Known = Found->second.Log.changesAfter(Query->After);
+  if (Found->second.Prompt && Known && !Known->Rows.empty())
+    answerWaiter(Found->second, Item);
+  else
+    Found->second.Waiters.push_back(Item);
+}
+
+void TableRelay::answerWaiter(const Table &Entry, const Waiter &Item) {
+  auto Rows = Entry.Log.changesAfter(Item.Query.After);
+  if (!Rows) {
+    Item.Call.Answer(tl::unexpected<std::error_code>(Rows.error()));
+    return;
+  }
+  const RelayAnswer Answer{std::move(*Rows), Entry.AsOf - Item.ArrivedAt};
+  Item.Call.Answer(Message{ChangesMethod, encodeRelayAnswer(Answer)});
 }
 
 void TableRelay::answerWaiters(Table &Entry, bool Current) {
   const std::vector<Waiter> Waiters = std::exchange(Entry.Waiters, {});
-  for (const Waiter &Item : Waiters) {
-    Outcome<TableRows> Rows = failure(Errc::Unavailable);
+  for (const Waiter &Item : Waiters)
     if (Current)
-      Rows = Entry.Log.changesAfter(Item.Query.After);
-    if (Rows)
-      Item.Call.Answer(Message{ChangesMethod, encodeRelayRows(*Rows)});
+      answerWaiter(Entry, Item);
     else
-      Item.Call.Answer(tl::unexpected<std::error_code>(Rows.error()));
-  }
+      Item.Call.Answer(failure(Errc::Unavailable));
 }
 
 } // namespace rr
--- a/src/features/tables/TableRelay.h
+++ b/src/features/tables/TableRelay.h
@@ -29,6 +29,14 @@
   /// Chooses who reads \p Table for this instance; none for itself.
   using Choice = std::function<std::optional<RelayPeer>(const std::string &)>;
 
+  /// Whole tables through another instance, for one that is in no hurry.
+  struct SnapshotSource {
+    /// Whether the table is to be read through another instance, now or soon.
+    std::function<bool()> Wanted;
+    /// The instance to ask; none yet.
+    std::function<std::optional<RelayPeer>()> Choose;
+  };
+
   /// \p Links outlive the relay and are not started yet.
   TableRelay(PeerLinks &Links, const TableStore &Store, Choice Chooser);
   TableRelay(const TableRelay &) = delete;
@@ -38,6 +46,12 @@
   /// must not wait goes to the store itself.
   TableStore tables();
 
+  void setSnapshotSource(SnapshotSource Source) {
+    this->Snapshots = std::move(Source);
+  }
+  /// Passes changes of \p Name on as soon as they are known, and not only
+  /// when a read ends; for tables that are read without a pause.
+  void setPrompt(const std::string &Name) { this->Tables[Name].Prompt = true; }
   /// Reads that another instance answered.
   std::uint64_t relayedReads() const { return this->Relayed; }
 
@@ -45,27 +59,47 @@
   struct Waiter {
     RelayQuery Query;
     IncomingCall Call;
+    /// On bootTime().
+    Clock::time_point ArrivedAt{};
   };
   struct Table {
+    /// Changes are passed on as soon as they are known.
+    bool Prompt = false;
     /// Empty while another instance reads.
     ChangeLog Log;
     std::vector<Waiter> Waiters;
     /// The store is read directly until then.
     Clock::time_point DirectUntil{};
     RelayPeer Peer;
+    /// The log is complete up to this time on bootTime().
+    Clock::time_point AsOf{};
+    /// The whole table as it was read for others, for those that ask shortly
+    /// after.
+    std::optional<TableRows> Snapshot;
+    /// On bootTime().
+    Clock::time_point SnapshotAsOf{};
+    std::vector<Waiter> SnapshotWaiters;
   };
 
   asio::awaitable<Outcome<TableRows>>
   readChanges(std::string Name, std::uint64_t After, Clock::duration Wait);
   asio::awaitable<Outcome<TableRows>>
   readRelayed(Table &Entry, RelayQuery Query, Clock::duration Wait);
+  asio::awaitable<Outcome<TableRows>> readTable(std::string Name);
+  asio::awaitable<Outcome<TableRows>> readSnapshot(std::string Name,
+                                                   std::string Peer);
+  asio::awaitable<void> readForOthers(std::string Name);
   void answerCall(IncomingCall Call);
+  void answerSnapshotCall(IncomingCall Call);
   void answerWaiters(Table &Entry, bool Current);
+  static void answerWaiter(const Table &Entry, const Waiter &Item);
+  static void answerSnapshot(const Table &Entry, const Waiter &Item);
   void follow(Table &Entry, const RelayPeer &Peer);
 
   PeerLinks &Links;
   const TableStore &Store;
   Choice Chooser;
+  SnapshotSource Snapshots;
   std::map<std::string, Table> Tables;
   std::uint64_t Relayed = 0;
 };
--- /dev/null
+++ b/src/features/tables/TableRows.cpp
@@ -0,0 +1,14 @@
+#include "tables/TableRows.h"
+
+#include "tables/BootTime.h"
+
+namespace rr {
+
+Clock::time_point provenTime(const TableRows &Rows, Clock::time_point Start,
+                             Clock::duration Wait) {
+  if (Rows.Relayed)
+    return Rows.AsOf;
+  return Rows.Rows.empty() && bootTime() - Start >= Wait ? Start + Wait : Start;
+}
+
+} // namespace rr
--- a/src/features/tables/TableWatch.cpp
+++ b/src/features/tables/TableWatch.cpp
@@ -31,6 +31,18 @@
     this->Pause.cancel();
 }
 
+void TableWatch::noteSuccess() {
+  const bool Returned = this->Contact.isFailing();
+  this->Contact.succeeded(Clock::now());
+  if (Returned && this->Functions.Returned)
+    this->Functions.Returned();
+}
+
+void TableWatch::retrySoon() {
+  if (this->Contact.isFailing())
+    this->Pause.cancel();
+}
+
 asio::awaitable<bool> TableWatch::step() {
   const Clock::time_point Start = bootTime();
   const Clock::time_point CallStart = Clock::now();
@@ -48,22 +60,20 @@
     co_return true;
   if (!Read && Read.error() == make_error_code(Errc::Stale)) {
     logEvent(Event::HistoryLost, {{"table", this->Chosen.Table}});
-    this->Contact.succeeded(Clock::now());
+    this->noteSuccess();
     this->Loaded = false;
     co_return true;
   }
   if (!Read)
     co_return false;
-  this->Contact.succeeded(Clock::now());
+  this->noteSuccess();
   this->Loaded = true;
   this->Relayed = Read->Relayed;
   this->ReadStart = std::max(this->ReadStart, CallStart);
   this->apply(*Read, Full);
-  // A call that waited in vain shows that nothing had changed by its end.
-  const bool WaitedInVain =
-      !Full && Read->Rows.empty() && bootTime() - Start >= Wait;
   if (this->Functions.Confirmed)
-    this->Functions.Confirmed(WaitedInVain ? Start + Wait : Start);
+    this->Functions.Confirmed(
+        provenTime(*Read, Start, Full ? Clock::duration::max() : Wait));
   co_return true;
 }
 
@@ -85,7 +95,7 @@
       this->Chosen.Table, this->Version, Clock::duration{0});
   if (this->Stopped || !Read)
     co_return false;
-  this->Contact.succeeded(Clock::now());
+  this->noteSuccess();
   this->ReadStart = std::max(this->ReadStart, CallStart);
   this->apply(*Read, false);
   if (this->Functions.Confirmed)
@@ -103,7 +113,6 @@
 asio::awaitable<void> TableWatch::run() {
   while (!this->Stopped) {
     const Clock::time_point Start = Clock::now();
-    const bool WasLoaded = this->Loaded;
     if (!co_await this->step()) {
       const double Jitter = std::uniform_real_distribution<>()(this->Random);
       // A reader that reads seldom also tries seldom.
@@ -116,7 +125,7 @@
     if (this->Relayed && this->Chosen.Period <= this->Chosen.Wait)
       continue;
     const Clock::duration Passed = Clock::now() - Start;
-    if (WasLoaded && this->Loaded && Passed < this->Chosen.Period)
+    if (this->Loaded && Passed < this->Chosen.Period)
       co_await this->pauseFor(this->Chosen.Period - Passed);
   }
 }
--- a/src/features/tables/TableWatch.h
+++ b/src/features/tables/TableWatch.h
@@ -32,6 +32,8 @@
     std::function<void(const TableRows &Rows)> Changes;
     /// Everything up to \p AsOf on bootTime() has been applied.
     std::function<void(Clock::time_point AsOf)> Confirmed;
+    /// The store answers again after calls that failed.
+    std::function<void()> Returned = {};
   };
 
   TableWatch(asio::io_context &Context, const TableStore &Store, Options Chosen,
@@ -49,11 +51,15 @@
   /// The last call was not answered.
   bool isFailing() const { return this->Contact.isFailing(); }
   bool isSettling() const { return this->Contact.isSettling(Clock::now()); }
+  const StoreContact &contact() const { return this->Contact; }
+  /// Ends a pause after a failed call.
+  void retrySoon();
 
 private:
   asio::awaitable<bool> step();
   void apply(const TableRows &Read, bool Full);
   asio::awaitable<void> pauseFor(Clock::duration Time);
+  void noteSuccess();
 
   const TableStore &Store;
   Options Chosen;
--- a/src/features/tables/tst_TableRelay.cpp
+++ b/src/features/tables/tst_TableRelay.cpp
@@ -1,4 +1,5 @@
 #include "links/PeerLinks.h"
+#include "tables/BootTime.h"
 #include "tables/FakeTables.h"
 #include "tables/TableRelay.h"
 #include "tables/TableWatch.h"
@@ -16,7 +17,8 @@
 
 /// One instance that follows the table "t".
 struct Reader {
-  Reader(TestLoop &Loop, const std::string &Name, TableStore Direct)
+  Reader(TestLoop &Loop, const std::string &Name, TableStore Direct,
+         TableRelay::SnapshotSource Source = {})
       : Direct(std::move(Direct)),
         Links(Loop.context(), {Name, "z", "127.0.0.1:0"}),
         Relay(this->Links, this->Direct,
@@ -24,7 +26,11 @@
         Store(this->Relay.tables()),
         Watch(Loop.context(), this->Store, {"t", 1s, 1s},
               {[this](const TableRows &Rows) { this->apply(Rows); },
-               [this](const TableRows &Rows) { this->apply(Rows); }, nullptr}) {
+               [this](const TableRows &Rows) { this->apply(Rows); },
+               [this](Clock::time_point AsOf) {
+                 this->Confirmed = std::max(this->Confirmed, AsOf);
+               }}) {
+    this->Relay.setSnapshotSource(std::move(Source));
     this->Links.start("secret");
     Loop.spawn(
         [this]() -> asio::awaitable<void> { co_await this->Watch.run(); });
@@ -45,6 +51,8 @@
   TableStore Store;
   TableWatch Watch;
   std::map<std::string, std::string> Seen;
+  /// On bootTime().
+  Clock::time_point Confirmed{};
 };
 
 /// A first instance that reads the store, and a second that follows it.
@@ -200,10 +208,105 @@
   CHECK(Bed.Second.Seen.at("a") == "1");
 }
 
+// Guards against a whole fleet that reads every table in full when it starts.
+TEST_CASE("Whole tables are read once for several instances that may wait",
+          "[relay]") {
+  RelayBed Bed;
+  Bed.Tables.put("t", "a", "1");
+  const RelayPeer Source{"first",
+                         "127.0.0.1:" + std::to_string(Bed.First.Links.port())};
+  std::vector<std::unique_ptr<Reader>> Readers;
+  for (int Index = 0; Index < 4; ++Index) {
+    auto Item = std::make_unique<Reader>(
+        Bed.Loop, "r" + std::to_string(Index), Bed.Tables.tables(),
+        TableRelay::SnapshotSource{[] { return true; },
+                                   [Source] { return Source; }});
+    Item->Direct.ReadTable =
+        [](std::string) -> asio::awaitable<Outcome<TableRows>> {
+      co_return failure(Errc::Unavailable);
+    };
+    Item->Peer = Source;
+    Readers.push_back(std::move(Item));
+  }
+  Bed.advance(2s);
+  for (const auto &Item : Readers)
+    CHECK(Item->Seen.count("a"));
+  Bed.Tables.put("t", "b", "2");
+  Bed.advance(2500ms);
+  for (const auto &Item : Readers) {
+    CHECK(Item->Seen.count("b"));
+    Item->Watch.stop();
+    Item->Links.stop();
+  }
+  Bed.advance(5s);
+}
+
+// Guards against an instance that never starts because the one that it asks
+// for a table does not answer.
+TEST_CASE("A whole table is read directly when no other instance has it",
+          "[relay]") {
+  RelayBed Bed;
+  Bed.Tables.put("t", "a", "1");
+  Reader Third(Bed.Loop, "third", Bed.Tables.tables(),
+               {[] { return true; },
+                [] {
+                  return RelayPeer{"nobody", "127.0.0.1:1"};
+                }});
+  Bed.advance(4s);
+  CHECK(Third.Seen.count("a"));
+  Third.Watch.stop();
+  Third.Links.stop();
+  Bed.advance(3s);
+}
+
+// Guards against keys that are taken for valid longer than they were known to
+// be: the proof must be as old as the reader's, however late it arrives.
+TEST_CASE("Rows that are passed on prove no more than the reader knew",
+          "[relay]") {
+  RelayBed Bed;
+  for (int Step = 0; Step < 40; ++Step) {
+    Bed.Tables.put("t", "a", std::to_string(Step));
+    Bed.advance(150ms);
+    CHECK(Bed.Second.Confirmed <= Bed.First.Confirmed);
+    CHECK(bootTime() - Bed.Second.Confirmed < 2500ms);
+  }
+  // The reader's store stops answering; what it knew grows old everywhere.
+  Bed.First.Direct.ReadChanges =
+      [](std::string, std::uint64_t,
+         Clock::duration) -> asio::awaitable<Outcome<TableRows>> {
+    co_return failure(Errc::Unavailable);
+  };
+  Bed.Second.Direct.ReadChanges = Bed.First.Direct.ReadChanges;
+  Bed.advance(300ms);
+  const Clock::time_point Known = Bed.First.Confirmed;
+  Bed.advance(6s);
+  CHECK(Bed.Second.Confirmed <= Known);
+}
+
+// Guards against orders that arrive one read of the reader later than they
+// could.
+TEST_CASE("What the reader knows already is passed on at once where a table is "
+          "read without a pause",
+          "[relay]") {
+  RelayBed Bed;
+  Bed.First.Relay.setPrompt("t");
+  std::uint64_t Before = 0;
+  for (int Step = 0; Step < 10; ++Step) {
+    // Two changes in a row; the second one comes while the follower asks.
+    Bed.Tables.put("t", "a", std::to_string(Step));
+    Bed.advance(50ms);
+    Bed.Tables.put("t", "b", std::to_string(Step));
+    Bed.advance(1200ms);
+    CHECK(Bed.Second.Seen.at("b") == std::to_string(Step));
+    CHECK(Bed.Second.Relay.relayedReads() > Before);
+    Before = Bed.Second.Relay.relayedReads();
+  }
+}
+
 // Guards against bytes of a peer that end the process.
 TEST_CASE("Malformed relay messages are refused", "[relay]") {
   CHECK_FALSE(decodeRelayQuery("x"));
-  CHECK_FALSE(decodeRelayRows("x"));
-  CHECK_FALSE(decodeRelayRows(encodeRelayQuery({"t", 1})));
-  CHECK_FALSE(decodeRelayQuery(encodeRelayRows({})));
+  CHECK_FALSE(decodeRelayAnswer("x"));
+  CHECK_FALSE(decodeRelayAnswer(encodeRelayQuery({"t", 1})));
+  CHECK_FALSE(decodeRelayQuery(encodeRelayAnswer({})));
 }
--- a/src/features/tables/tst_TableWatch.cpp
+++ b/src/features/tables/tst_TableWatch.cpp
@@ -76,6 +76,7 @@
           "[watch]") {
   WatchBed Bed;
   Bed.Loop.spawn([&]() -> asio::awaitable<void> { co_await Bed.Watch.run(); });
+  Bed.Loop.advance(600ms);
   CHECK(Bed.Tables.LastWait == 2s);
   Bed.Tables.Down = true;
   Bed.Loop.advance(4s);
