Use the old version when its servers are first seen after the order

Cause: an instance that restarted during a move and read the order before the servers' entries took every version for one that waits for its order, and avoided all of them for six seconds. Change: versions that are present when servers are first seen are in use, but for the target of a known order. Test: tst_VersionSteering, fails before and passes after.

--- a/src/features/steering/VersionSteering.cpp
+++ b/src/features/steering/VersionSteering.cpp
@@ -56,8 +56,12 @@
 
 void VersionSteering::notePresent(const std::set<std::string> &Present,
                                   Clock::time_point Now) {
-  if (this->Known.empty() && !this->Order) {
-    this->Known = Present;
+  // Servers that are there when this instance first sees any are in use, but
+  // for those that an order has named already.
+  if (this->Known.empty()) {
+    for (const std::string &Version : Present)
+      if (!this->Order || Version != this->Order->Target)
+        this->Known.insert(Version);
     return;
   }
   for (const std::string &Version : Present)
--- a/src/features/steering/tst_VersionSteering.cpp
+++ b/src/features/steering/tst_VersionSteering.cpp
@@ -47,6 +47,19 @@
   CHECK(targetShare(Steering, 400) == Approx(0.3).margin(0.02));
 }
 
+// Guards against an instance that starts during a move, reads the order before
+// the servers, and then gives nothing to any of them for seconds.
+TEST_CASE("The old version is used when the order is known before the servers",
+          "[versions]") {
+  VersionSteering Steering;
+  Steering.order(Order, {});
+  Steering.notePresent({}, Clock::now());
+  Steering.notePresent({"v1", "v2"}, Clock::now());
+  const auto Choice = Steering.choose("a", Clock::now());
+  CHECK_FALSE(Choice.Avoided.count("v1"));
+  CHECK(Choice.Avoided.count("v2"));
+}
+
 TEST_CASE("A version that appears without an order waits for one",
           "[versions]") {
   Clock::pause();
