Bound the bodies of all messages together, and drop a server's fields that look like an instance's

Cause: an answer is held whole, up to 64 MiB, and an instance may have 160 MiB in all; a few answers without end would have ended the process. Change: a budget for the bodies of all requests and answers, a sixth of instance.memory_mb; one answer takes half of it at most; a request that finds no room gets 503. An answer of a backend server with a field named Redwingrack-Configuration is stripped of it before a standby sees it.

--- a/src/features/gateway/Gateway.cpp
+++ b/src/features/gateway/Gateway.cpp
@@ -20,6 +20,7 @@
 /// Idle connections kept to one server.
 constexpr std::size_t KeptLinks = 12;
 constexpr std::size_t LargestAnswer = 64U << 20;
+constexpr std::size_t LargestHeader = 32U << 10;
 /// A handshake that takes longer than this and several round trips will not
 /// come to anything in time.
 constexpr Clock::duration LeastConnectTime = std::chrono::milliseconds(250);
@@ -56,11 +57,21 @@
 
 } // namespace
 
+namespace {
+
+/// One answer takes half of what there is for all at most, so that one that
+/// does not end leaves room for others.
+ParserLimits answerLimits(const SteeringState &State) {
+  return {LargestHeader, std::min(LargestAnswer, State.BodyBytes->most() / 2),
+          State.BodyBytes};
+}
+
+} // namespace
+
 Gateway::Gateway(asio::io_context &Io, SteeringState &Known,
                  QuotaExchange &Rates, Metrics &Totals)
     : State(Known), Quotas(Rates), Counters(Totals),
-      Links(Io, KeptLinks, ParserLimits{32U << 10, LargestAnswer}),
-      Random(randomSeed()) {}
+      Links(Io, KeptLinks, answerLimits(Known)), Random(randomSeed()) {}
 
 asio::awaitable<HttpMessage> Gateway::handle(HttpMessage Message,
                                              CancellationPtr Cancel) {
--- a/src/features/gateway/GatewaySettings.h
+++ b/src/features/gateway/GatewaySettings.h
@@ -29,6 +29,8 @@
   std::string StoreAddress;
   /// Processor share that the process may use.
   double Capacity = 1;
+  /// Memory that the process may use, in MiB.
+  double Memory = 256;
   /// Region by availability zone.
   std::map<std::string, std::string> Zones;
   GatewayHeaders Headers;
--- a/src/features/gateway/GatewaySettingsFile.cpp
+++ b/src/features/gateway/GatewaySettingsFile.cpp
@@ -52,6 +52,7 @@
     this->address(Reader, "metrics", Target.MetricsAddress, false);
     this->address(Reader, "peers", Target.PeerAddress, false);
     Reader.number("cpu_share", Target.Capacity, 0);
+    Reader.number("memory_mb", Target.Memory, 0);
     Reader.refuseUnknown();
   }
 
--- a/src/features/gateway/StandbyForwarder.cpp
+++ b/src/features/gateway/StandbyForwarder.cpp
@@ -47,7 +47,8 @@
                                    const SteeringState &Known)
     : State(Known), Lookups(Io, KeptLookupLinks, {}),
       // A request that may run once must not meet a connection that closes.
-      Requests(Io, 0, ParserLimits{32U << 10, LargestAnswer}) {}
+      Requests(Io, 0, ParserLimits{32U << 10, LargestAnswer, Known.BodyBytes}) {
+}
 
 Clock::duration StandbyForwarder::timeFor(const HttpMessage &Request) const {
   const Clock::duration Left =
@@ -89,6 +90,11 @@
 }
 
 void StandbyForwarder::addVersion(HttpMessage &Answer, std::uint64_t Version) {
+  // A backend server may use the same names for something else.
+  std::erase_if(Answer.Headers, [](const HttpHeader &Field) {
+    return equalIgnoreCase(Field.Name, VersionName) ||
+           equalIgnoreCase(Field.Name, DeclinedName);
+  });
   Answer.Headers.push_back({VersionName, std::to_string(Version)});
 }
 
--- a/src/features/gateway/SteeringInstance.cpp
+++ b/src/features/gateway/SteeringInstance.cpp
@@ -218,7 +218,8 @@
 
 void SteeringInstance::applyLimits(const ClientLimits &Limits) {
   ServerLimits Applied;
-  Applied.Message = {Limits.HeaderBytes, Limits.BodyBytes};
+  Applied.Message = {Limits.HeaderBytes, Limits.BodyBytes,
+                     this->State.BodyBytes};
   Applied.RequestTime = Limits.HeaderTime;
   Applied.IdleTime = Limits.IdleTime;
   this->Callers.setLimits(Applied);
--- a/src/features/gateway/SteeringState.h
+++ b/src/features/gateway/SteeringState.h
@@ -3,6 +3,7 @@
 
 #include "base/Clock.h"
 #include "gateway/GatewaySettings.h"
+#include "http1/ByteBudget.h"
 #include "retry/RetryBudget.h"
 #include "steering/BackendPool.h"
 #include "steering/ColdGate.h"
@@ -24,14 +25,27 @@
 
 namespace rr {
 
+/// Bytes of bodies for a process that may use \p Memory MiB. Text grows by
+/// doubling and is copied once when it is written, so the process needs
+/// several times as much.
+inline std::shared_ptr<ByteBudget> bodyBudget(double Memory) {
+  constexpr double BodyPart = 1.0 / 6;
+  constexpr double Mebibyte = 1 << 20;
+  return std::make_shared<ByteBudget>(
+      static_cast<std::size_t>(Memory * Mebibyte * BodyPart));
+}
+
 /// All that one instance knows and decides with. Used from one thread.
 struct SteeringState {
   explicit SteeringState(const GatewaySettings &Settings)
-      : Settings(Settings), Backends(Settings.Zones), Members(Settings.Name),
+      : Settings(Settings), BodyBytes(bodyBudget(Settings.Memory)),
+        Backends(Settings.Zones), Members(Settings.Name),
         Network(Settings.Zone, Settings.Region),
         Shifts(Settings.Bounds.MostShift) {}
 
   GatewaySettings Settings;
+  /// For the bodies of all requests and answers.
+  std::shared_ptr<ByteBudget> BodyBytes;
   /// In force; null before any is known.
   std::shared_ptr<const SteeringConfig> Config;
   /// The operator's orders were known in full at this time on bootTime().
--- a/src/features/gateway/tst_Standby.cpp
+++ b/src/features/gateway/tst_Standby.cpp
@@ -171,6 +171,32 @@
 
 // Guards against an answer by an old configuration in the moment in which a
 // standby goes into service.
+// Guards against a backend server whose fields are taken for those of an
+// instance.
+TEST_CASE("Fields of a backend server that look like an instance's are not "
+          "passed on to a standby",
+          "[standby]") {
+  Bed B;
+  B.start();
+  B.advance(5s);
+  for (const char *Id : {"b1", "b2"})
+    B.Backends.at(Id).Answers.push_back([](const HttpMessage &Request) {
+      HttpMessage Reply = Bed::goodAnswer(Request);
+      Reply.Headers.push_back({"Redwingrack-Configuration", "99"});
+      Reply.Headers.push_back({"Redwingrack-Declined", "1"});
+      return Reply;
+    });
+  LoopbackPeer Peer(B.Context, B.Instance->callerPort());
+  Peer.send("GET /open/x HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: 900\r\n"
+            "Redwingrack-Forwarded: 1\r\nConnection: close\r\n\r\n");
+  for (int Step = 0; Step < 200 && !Peer.Ended; ++Step)
+    B.advance(10ms);
+  CHECK(Peer.Received.find("Redwingrack-Configuration: 1\r\n") !=
+        std::string::npos);
+  CHECK(Peer.Received.find("99") == std::string::npos);
+  CHECK(Peer.Received.find("Redwingrack-Declined") == std::string::npos);
+}
+
 TEST_CASE("An instance that has just left standby reads the orders first",
           "[standby]") {
   StandbyBed B;
--- a/src/libs/http1/HttpMessage.h
+++ b/src/libs/http1/HttpMessage.h
@@ -3,6 +3,7 @@
 
 #include "base/HttpHeader.h"
 
+#include <memory>
 #include <string>
 
 namespace rr {
@@ -19,6 +20,8 @@
   /// through removeHopByHopHeaders().
   HttpHeaders Headers;
   std::string Body;
+  /// Holds the body's part of a ByteBudget; null when there is none.
+  std::shared_ptr<void> BodyLease;
   /// The sender keeps its connection open after this message.
   bool KeepAlive = true;
 };
--- a/src/libs/http1/HttpSession.cpp
+++ b/src/libs/http1/HttpSession.cpp
@@ -34,6 +34,8 @@
     return 431;
   case ParseError::BodyTooLarge:
     return 413;
+  case ParseError::NoRoom:
+    return 503;
   default:
     return 400;
   }
--- a/src/libs/http1/MessageParser.cpp
+++ b/src/libs/http1/MessageParser.cpp
@@ -1,5 +1,7 @@
 #include "http1/MessageParser.h"
 
+#include "http1/ByteBudget.h"
+
 #include <http_parser.h>
 
 #include <cctype>
@@ -12,6 +14,7 @@
   http_parser_settings Hooks{};
   ParserLimits Limits;
   HttpMessage Message;
+  std::shared_ptr<ByteBudget::Lease> Lease;
   std::size_t HeaderBytes = 0;
   bool LastWasValue = false;
   bool Started = false;
@@ -80,6 +83,12 @@
   int onBody(const char *At, std::size_t Length) {
     if (this->Message.Body.size() + Length > this->Limits.BodyBytes)
       return this->stop(ParseError::BodyTooLarge);
+    if (this->Limits.Budget && !this->Lease) {
+      this->Lease = std::make_shared<ByteBudget::Lease>(this->Limits.Budget);
+      this->Message.BodyLease = this->Lease;
+    }
+    if (this->Lease && !this->Lease->tryTake(Length))
+      return this->stop(ParseError::NoRoom);
     this->Message.Body.append(At, Length);
     return 0;
   }
--- a/src/libs/http1/ParseError.h
+++ b/src/libs/http1/ParseError.h
@@ -9,6 +9,8 @@
   Malformed,
   HeaderTooLarge,
   BodyTooLarge,
+  /// Bodies of other messages hold all the memory that there is for them.
+  NoRoom,
 };
 
 } // namespace rr
