--- a/src/features/gateway/SteeringInstance.cpp
+++ b/src/features/gateway/SteeringInstance.cpp
@@ -302,15 +302,17 @@
     co_return plainReply(Query.error() == make_error_code(Errc::NotFound) ? 404
                                                                           : 400,
                          "not a look-up");
-  if (!this->State.Config || !this->State.MembersKnown)
-    co_return refusalReply(503, "the instances are not known here yet",
-                           std::chrono::milliseconds(300));
-  if (this->State.Standby) {
-    // What a standby knows of the others is old.
+  if (this->State.MembersKnown &&
+      (this->State.Standby || !this->State.Config)) {
+    // What a standby knows of the others is old, and one that has just started
+    // has read no homes yet.
     auto Answer = co_await this->Forwarder.forwardLookup(Request);
     if (Answer)
       co_return std::move(*Answer);
   }
+  if (!this->State.Config || !this->State.MembersKnown)
+    co_return refusalReply(503, "the instances are not known here yet",
+                           std::chrono::milliseconds(300));
   std::set<std::string> Homes;
   const auto Routes = this->State.Config->RoutesByHost.find(Query->Host);
   if (Routes != this->State.Config->RoutesByHost.end())
--- a/src/features/gateway/tst_Standby.cpp
+++ b/src/features/gateway/tst_Standby.cpp
@@ -171,6 +171,52 @@
 
 // Guards against an answer by an old configuration in the moment in which a
 // standby goes into service.
+// Guards against a fleet whose idle instances cost the store a write each.
+TEST_CASE("An instance that stands by from the start writes no row",
+          "[standby]") {
+  StandbyBed B;
+  REQUIRE(B.Instance->state().Standby);
+  for (int Second = 0; Second < 20; ++Second) {
+    B.putLarge();
+    B.advance(1s);
+  }
+  CHECK_FALSE(B.Tables.find("redwingrack", "instance/i0"));
+}
+
+// Guards against callers whose look-ups fail while a small instance starts.
+TEST_CASE("A standby that knows no configuration yet passes look-ups on",
+          "[standby]") {
+  Bed B(0.1);
+  HttpServer Large(B.Context,
+                   [&](HttpMessage, const CancellationPtr &)
+                       -> asio::awaitable<HttpMessage> {
+                     HttpMessage Reply;
+                     Reply.Status = 200;
+                     Reply.Body = "the other instance's list";
+                     co_return Reply;
+                   });
+  REQUIRE(Large.listen("127.0.0.1:0"));
+  for (const char *Name : {"large1", "large2"}) {
+    MemberRecord Record;
+    Record.Name = Name;
+    Record.Zone = "z-a";
+    Record.Region = "z";
+    Record.Address = "127.0.0.1:1";
+    Record.LookupAddress = "127.0.0.1:" + std::to_string(Large.port());
+    Record.Capacity = 0.5;
+    Record.WrittenAt = Clock::now().time_since_epoch();
+    B.Tables.put("redwingrack", std::string("instance/") + Name,
+                 encodeMember(Record));
+  }
+  B.Tables.DownTables = {"orders"};
+  B.start();
+  LoopbackPeer Peer(B.Context, B.Instance->lookupPort());
+  Peer.send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  for (int Step = 0; Step < 200 && !Peer.Ended; ++Step)
+    B.advance(10ms);
+  CHECK(Peer.Received.find("the other instance's list") != std::string::npos);
+}
+
 // Guards against a backend server whose fields are taken for those of an
 // instance.
 TEST_CASE("Fields of a backend server that look like an instance's are not "
