--- a/src/features/gateway/QuotaExchange.cpp
+++ b/src/features/gateway/QuotaExchange.cpp
@@ -3,7 +3,7 @@
 #include "gateway/SteeringState.h"
 #include "links/PeerLinks.h"
 #include "logging/EventLog.h"
-#include "steering/StableHash.h"
+#include "steering/QuotaHolder.h"
 #include "tables/BootTime.h"
 
 #include <algorithm>
@@ -45,15 +45,9 @@
 std::string QuotaExchange::holderOf(const std::string &Workspace,
                                     const std::string &Region) const {
   const auto Found = this->Holders.find(Region);
-  if (Found == this->Holders.end() || Found->second.empty())
-    return "";
-  const auto Rank = [&](const std::string &Name) {
-    return mixHashes(stableHash(Workspace), stableHash(Name));
-  };
-  return *std::max_element(Found->second.begin(), Found->second.end(),
-                           [&](const auto &Left, const auto &Right) {
-                             return Rank(Left) < Rank(Right);
-                           });
+  return Found == this->Holders.end()
+             ? std::string()
+             : chooseQuotaHolder(Found->second, Workspace);
 }
 
 void QuotaExchange::count(const char *Result) {
--- /dev/null
+++ b/src/features/steering/FaultyFleet.h
@@ -0,0 +1,271 @@
+#ifndef REDWINGRACK_STEERING_FAULTYFLEET_H
+#define REDWINGRACK_STEERING_FAULTYFLEET_H
+
+#include "retry/RetryBudget.h"
+#include "steering/ColdGate.h"
+#include "steering/MemberView.h"
+#include "steering/QuotaGate.h"
+#include "steering/QuotaHolder.h"
+#include "steering/ShareTenure.h"
+#include "steering/SteeringTestBed.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace rr {
+
+/// Instances that meet through the rows of a store, at the pace of the real
+/// ones, while faults come at random: instances are cut from the store, stop
+/// and start, are replaced by others, or stand still; the store goes away or
+/// takes no writes.
+class FaultyFleet {
+public:
+  /// As the rates must be held.
+  static constexpr Clock::duration Step = std::chrono::milliseconds(10);
+  static constexpr Clock::duration RevocationTime = std::chrono::seconds(5);
+  static constexpr Clock::duration RevocationMargin =
+      std::chrono::milliseconds(400);
+  static constexpr QuotaBounds Bounds{std::chrono::seconds(5), 0.1, 20};
+
+  FaultyFleet(unsigned Seed, std::size_t Size) : Random(Seed) {
+    Clock::pause();
+    this->Nodes.resize(Size);
+    for (std::size_t Index = 0; Index < Size; ++Index)
+      this->start(Index);
+    this->advance(std::chrono::seconds(4));
+  }
+  ~FaultyFleet() { Clock::resume(); }
+
+  struct Node {
+    std::string Name;
+    std::optional<MemberView> View;
+    QuotaGate Quotas;
+    ColdGate ColdServers;
+    RetryBudget Retries;
+    Clock::time_point NextRead{};
+    Clock::time_point NextWrite{};
+    Clock::time_point ReadAt{};
+    Clock::duration ReadStoreTime{0};
+    Clock::time_point ProvenAt{};
+    ShareTenure Tenure;
+    Clock::time_point CutUntil{};
+    /// Other instances cannot be reached either.
+    Clock::time_point AloneUntil{};
+    Clock::time_point NextPass{};
+    std::vector<std::string> Holders;
+    Clock::time_point PausedUntil{};
+    Clock::time_point DownUntil{};
+    bool Known = false;
+  };
+
+  void advance(Clock::duration Time) {
+    for (Clock::duration Passed{0}; Passed < Time; Passed += Step)
+      this->step();
+  }
+
+  void step() {
+    Clock::advance(Step);
+    for (std::size_t Index = 0; Index < this->Nodes.size(); ++Index)
+      this->stepNode(this->Nodes[Index]);
+  }
+
+  /// Whether the instance serves requests with a key now.
+  bool serves(const Node &Item) const {
+    const Clock::time_point Now = Clock::now();
+    return Item.Known && Now >= Item.DownUntil && Now >= Item.PausedUntil &&
+           Item.Tenure.holds(Now) &&
+           Now < Item.ProvenAt + RevocationTime - RevocationMargin;
+  }
+
+  /// Passes tokens on as QuotaExchange does.
+  void exchangeTokens(const SteeringWorkspace &Workspace) {
+    const Clock::time_point Now = Clock::now();
+    for (Node &Item : this->Nodes) {
+      if (!this->serves(Item) || Now < Item.NextPass)
+        continue;
+      Item.NextPass = Now + std::chrono::milliseconds(250);
+      Item.Holders.clear();
+      for (const MemberRecord *Record : Item.View->quotaHolders("r"))
+        Item.Holders.push_back(Record->Name);
+      const std::string Name = chooseQuotaHolder(Item.Holders, Workspace.Name);
+      QuotaRole Role = QuotaRole::Independent;
+      if (!Name.empty())
+        Role = Name == Item.Name ? QuotaRole::Holder : QuotaRole::Member;
+      Item.Quotas.setRole(Workspace, Role, "r", *Item.View, Bounds, Now);
+      Node *Holder = this->find(Name);
+      if (!Holder || !this->isLinked(Item, *Holder))
+        continue;
+      const MicroRequests Tokens = Item.Quotas.surrender(Workspace.Name, Now);
+      if (Now >= Holder->PausedUntil)
+        Holder->Quotas.deposit(Workspace.Name, Tokens);
+    }
+  }
+
+  /// Takes a request at one instance, which asks the holder if need be.
+  bool admit(const SteeringWorkspace &Workspace, Node &At) {
+    const Clock::time_point Now = Clock::now();
+    if (At.Quotas.take(Workspace, *At.View, Bounds, Now) ==
+        Clock::duration::zero())
+      return true;
+    Node *Holder = this->find(chooseQuotaHolder(At.Holders, Workspace.Name));
+    if (!Holder || Holder == &At || !this->isLinked(At, *Holder) ||
+        !this->serves(*Holder))
+      return false;
+    const QuotaGrant Grant = Holder->Quotas.lend(
+        Workspace.Name, At.Quotas.batch(Workspace.Name, Now), Now);
+    if (Grant.Amount < OneRequest)
+      return false;
+    At.Quotas.deposit(Workspace.Name, Grant.Amount - OneRequest);
+    return true;
+  }
+
+  /// One random fault; some of them are several at once.
+  void breakSomething() {
+    const Clock::time_point Now = Clock::now();
+    const auto Pick = [&] {
+      return std::uniform_int_distribution<std::size_t>(0, this->Nodes.size() -
+                                                               1)(this->Random);
+    };
+    const auto Time = [&](int Least, int Most) {
+      return std::chrono::milliseconds(
+          std::uniform_int_distribution<>(Least, Most)(this->Random));
+    };
+    switch (std::uniform_int_distribution<>(0, 6)(this->Random)) {
+    case 0:
+      for (std::size_t Count = 0; Count < this->Nodes.size() / 3; ++Count) {
+        Node &Item = this->Nodes[Pick()];
+        Item.CutUntil = Now + Time(2000, 9000);
+        if (std::uniform_int_distribution<>(0, 1)(this->Random))
+          Item.AloneUntil = Item.CutUntil;
+      }
+      break;
+    case 1:
+      for (std::size_t Count = 0; Count < this->Nodes.size() / 2; ++Count)
+        this->restart(Pick(), Time(100, 3000));
+      break;
+    case 2: {
+      const std::size_t Gone = Pick();
+      this->Rows.erase(this->Nodes[Gone].Name);
+      this->restart(Gone, Time(100, 1000));
+      this->Nodes[Gone].Name += "x";
+      break;
+    }
+    case 3:
+      this->Nodes[Pick()].PausedUntil = Now + Time(500, 8000);
+      break;
+    case 4:
+      this->StoreDownUntil = Now + Time(1000, 6000);
+      break;
+    case 5:
+      this->ReadOnlyUntil = Now + Time(1000, 8000);
+      break;
+    default:
+      for (std::size_t Index = 0; Index < this->Nodes.size(); ++Index)
+        this->restart(Index, Time(100, 2500));
+      break;
+    }
+  }
+
+  std::mt19937 Random;
+  std::vector<Node> Nodes;
+
+private:
+  void start(std::size_t Index) {
+    Node &Item = this->Nodes[Index];
+    if (Item.Name.empty())
+      Item.Name = "i" + std::to_string(Index);
+    Node Fresh;
+    Fresh.Name = Item.Name;
+    Fresh.DownUntil = Item.DownUntil;
+    Fresh.CutUntil = Item.CutUntil;
+    Fresh.View.emplace(Fresh.Name);
+    Item = std::move(Fresh);
+  }
+
+  void restart(std::size_t Index, Clock::duration Down) {
+    this->Nodes[Index].DownUntil = Clock::now() + Down;
+    this->start(Index);
+  }
+
+  Node *find(const std::string &Name) {
+    for (Node &Item : this->Nodes)
+      if (Item.Name == Name)
+        return &Item;
+    return nullptr;
+  }
+
+  bool isLinked(const Node &Left, const Node &Right) const {
+    const Clock::time_point Now = Clock::now();
+    return &Left != &Right && Now >= Left.DownUntil && Now >= Right.DownUntil &&
+           Now >= std::max(Left.AloneUntil, Right.AloneUntil);
+  }
+
+  bool reaches(const Node &Item) const {
+    return Clock::now() >= std::max(Item.CutUntil, this->StoreDownUntil);
+  }
+
+  void stepNode(Node &Item) {
+    const Clock::time_point Now = Clock::now();
+    if (Now < Item.DownUntil || Now < Item.PausedUntil)
+      return;
+    if (!Item.View || Item.View->records().empty())
+      Item.View.emplace(Item.Name);
+    if (this->reaches(Item)) {
+      // A poll for orders ends every 2.2 s at the latest.
+      if (Now >= Item.ProvenAt + std::chrono::milliseconds(2200))
+        Item.ProvenAt = Now;
+      if (Now >= Item.NextRead)
+        this->read(Item);
+      if (Item.Known && Now >= this->ReadOnlyUntil &&
+          (Now >= Item.NextWrite || Item.Tenure.isLapsed(Now)))
+        this->write(Item);
+    }
+    if (Item.Known && Now - Item.ReadAt < std::chrono::milliseconds(3500))
+      Item.View->setStoreTime(Item.ReadStoreTime + (Now - Item.ReadAt));
+  }
+
+  void read(Node &Item) {
+    const Clock::time_point Now = Clock::now();
+    Item.View->noteRead(Now.time_since_epoch(),
+                        !Item.Known || Now - Item.ReadAt >
+                                           std::chrono::milliseconds(2600));
+    const auto Own = this->Rows.find(Item.Name);
+    if (!Item.Known && Own != this->Rows.end())
+      Item.Tenure.noteFound(Now.time_since_epoch() - Own->second.WrittenAt,
+                            Now);
+    Item.View->clear();
+    for (const auto &Row : this->Rows)
+      Item.View->apply(Row.second);
+    Item.ReadAt = Clock::now();
+    Item.ReadStoreTime = Clock::now().time_since_epoch();
+    // Right after the start the others' rows come soon.
+    Item.NextRead =
+        Clock::now() + (Item.Known ? std::chrono::milliseconds(2000)
+                                   : std::chrono::milliseconds(800));
+    Item.Known = true;
+  }
+
+  void write(Node &Item) {
+    if (Item.Tenure.isLapsed(Clock::now()))
+      Item.View->restartContact();
+    MemberRecord Record = testMember(Item.Name, "r-a", Item.View->storeTime());
+    Record.ContactSince = Item.View->contactSince();
+    Record.Demand = Item.Quotas.demand(Clock::now());
+    Record.PeerAddress = "10.0.1.1:1";
+    this->Rows[Item.Name] = Record;
+    Item.Tenure.noteWritten(Clock::now(), Clock::now(),
+                            Item.View->hasDroppedSelf());
+    Item.NextWrite = Clock::now() + std::chrono::milliseconds(2400);
+  }
+
+  std::map<std::string, MemberRecord> Rows;
+  Clock::time_point StoreDownUntil{};
+  Clock::time_point ReadOnlyUntil{};
+};
+
+} // namespace rr
+
+#endif // REDWINGRACK_STEERING_FAULTYFLEET_H
--- a/src/features/steering/QuotaFleet.cpp
+++ b/src/features/steering/QuotaFleet.cpp
@@ -1,5 +1,6 @@
 #include "steering/QuotaFleet.h"
 
+#include "steering/QuotaHolder.h"
 #include "steering/StableHash.h"
 
 #include <algorithm>
@@ -138,17 +139,12 @@
 QuotaFleet::Node *QuotaFleet::holderOf(const Node &Item,
                                        const std::string &Region,
                                        const std::string &Workspace) {
-  const auto Found = Item.Holders.find(Region);
-  if (Found == Item.Holders.end() || Found->second.empty())
+  const auto Candidates = Item.Holders.find(Region);
+  if (Candidates == Item.Holders.end())
     return nullptr;
-  const auto Rank = [&](const std::string &Name) {
-    return mixHashes(stableHash(Workspace), stableHash(Name));
-  };
-  return this->NodesByName.at(
-      *std::max_element(Found->second.begin(), Found->second.end(),
-                        [&](const auto &Left, const auto &Right) {
-                          return Rank(Left) < Rank(Right);
-                        }));
+  const auto Found =
+      this->NodesByName.find(chooseQuotaHolder(Candidates->second, Workspace));
+  return Found == this->NodesByName.end() ? nullptr : Found->second;
 }
 
 void QuotaFleet::passTokens(Node &Item, Clock::time_point Now) {
