Give the sums of the instances' records a header of their own

clang does not take a nested struct with default values for default constructible within its class, so the linter could not read MemberView. No change of behaviour; tst_steering passes.

--- a/src/features/steering/MemberView.cpp
+++ b/src/features/steering/MemberView.cpp
@@ -202,7 +202,7 @@
 
 std::size_t MemberView::holders() const { return this->shareSums().Holders; }
 
-const MemberView::ShareSums &MemberView::shareSums() const {
+const ShareSums &MemberView::shareSums() const {
   if (this->Sums)
     return *this->Sums;
   ShareSums &Result = this->Sums.emplace();
--- a/src/features/steering/MemberView.h
+++ b/src/features/steering/MemberView.h
@@ -3,6 +3,7 @@
 
 #include "base/Clock.h"
 #include "steering/MemberRecord.h"
+#include "steering/ShareSums.h"
 
 #include <map>
 #include <optional>
@@ -113,15 +114,6 @@
   bool mayServe(const MemberRecord &Record) const;
   bool holdsShares(const MemberRecord &Record) const;
 
-  /// Instances that share sums, and what they published.
-  struct ShareSums {
-    std::size_t Holders = 0;
-    std::map<std::string, std::size_t> HoldersByRegion;
-    /// Requests a second by workspace.
-    std::map<std::string, double> Demand;
-    /// The same by region and workspace.
-    std::map<std::string, std::map<std::string, double>> DemandByRegion;
-  };
   const ShareSums &shareSums() const;
   /// Part of \p Count instances with \p Demand requests a second together.
   double shareOf(const std::string &Workspace, double Demand,
--- /dev/null
+++ b/src/features/steering/ShareSums.h
@@ -0,0 +1,22 @@
+#ifndef REDWINGRACK_STEERING_SHARESUMS_H
+#define REDWINGRACK_STEERING_SHARESUMS_H
+
+#include <cstddef>
+#include <map>
+#include <string>
+
+namespace rr {
+
+/// Instances that share sums, such as rates, and what they published.
+struct ShareSums {
+  std::size_t Holders = 0;
+  std::map<std::string, std::size_t> HoldersByRegion;
+  /// Requests a second by workspace.
+  std::map<std::string, double> Demand;
+  /// The same by region and workspace.
+  std::map<std::string, std::map<std::string, double>> DemandByRegion;
+};
+
+} // namespace rr
+
+#endif // REDWINGRACK_STEERING_SHARESUMS_H
