Read requests that were sent ahead also while none may begin

Cause, found by reading: a request that was read in part when a mebibyte of answers began to wait was not read on, and got 408 when the time for reading it was over, although all of it had arrived. Change: what has arrived is read; only its start waits. Test: tst_HttpSession, fails before and passes after.

--- a/src/libs/http1/HttpSession.cpp
+++ b/src/libs/http1/HttpSession.cpp
@@ -68,13 +68,15 @@
 }
 
 bool HttpSession::mayStart(const HttpMessage &Request) const {
-  return this->Open.empty() ||
-         (this->Rules->RunsAhead && this->Rules->RunsAhead(Request));
+  if (this->Open.empty())
+    return true;
+  return this->Open.size() < MostOpen &&
+         this->waitingBytes() < MostWaitingBytes && this->Rules->RunsAhead &&
+         this->Rules->RunsAhead(Request);
 }
 
 void HttpSession::advance() {
-  while (!this->Closing && !this->Ended && this->Open.size() < MostOpen &&
-         this->waitingBytes() < MostWaitingBytes) {
+  while (!this->Closing && !this->Ended) {
     if (this->Held) {
       if (!this->mayStart(*this->Held))
         break;
--- a/src/libs/http1/tst_HttpSession.cpp
+++ b/src/libs/http1/tst_HttpSession.cpp
@@ -52,6 +52,8 @@
     HttpMessage Reply;
     Reply.Status = 200;
     Reply.Body = "<" + Path + ":" + Request.Body + ">";
+    if (Path == "/large")
+      Reply.Body.assign(HttpSession::MostWaitingBytes, 'x');
     co_return Reply;
   }
 
@@ -192,6 +194,30 @@
   CHECK(Peer.waitForEnd());
 }
 
+// Guards against a client that is told that it was too slow, while the rest of
+// its request waited here for answers in front to be written.
+TEST_CASE("A request that has arrived is not timed out while it waits for its "
+          "turn",
+          "[http1]") {
+  SessionBed Bed;
+  Bed.Server.setLimits({{16U << 10, 1U << 20}, 60ms, 5s, 5s, 10});
+  LoopbackPeer Peer(Bed.Context, Bed.Server.port());
+  Peer.send(get("/1"));
+  REQUIRE(Bed.waitForStarts(1));
+  const std::string Third = get("/3");
+  Peer.send(get("/large") + Third.substr(0, 10));
+  REQUIRE(Bed.waitForStarts(2));
+  Bed.release("/large");
+  Peer.send(Third.substr(10));
+  for (int Round = 0; Round < 5; ++Round)
+    Bed.settle();
+  CHECK(Bed.Started.size() == 2);
+  Bed.release("/1");
+  Bed.release("/3");
+  CHECK(Peer.waitFor("</3:>"));
+  CHECK(Peer.Received.find("HTTP/1.1 408") == std::string::npos);
+}
+
 // Guards against an error in one request that takes the process down, or
 // leaves its client waiting.
 TEST_CASE("An unexpected error in a request is answered with 500", "[http1]") {
