--- a/src/features/gateway/tst_InstanceTenure.cpp
+++ b/src/features/gateway/tst_InstanceTenure.cpp
@@ -8,6 +8,8 @@
 
 using Bed = TwoServerBed;
 
+// Guards against a rate that is used by an instance and by those that have
+// taken its part.
 TEST_CASE("An instance that cannot renew its row stops using the rates before "
           "the others take its part",
           "[tenure]") {
--- a/src/features/gateway/tst_Standby.cpp
+++ b/src/features/gateway/tst_Standby.cpp
@@ -340,6 +340,3 @@
   CHECK(B.Instance->isReady());
   CHECK(hasStatus(B.request("GET", "/safe/x"), 200));
 }
-
-// Guards against a rate that is used by an instance and by those that have
-// taken its part.
