--- a/src/features/gateway/tst_Standby.cpp
+++ b/src/features/gateway/tst_Standby.cpp
@@ -1,6 +1,6 @@
 #include "gateway/MemberCodec.h"
+#include "gateway/StandbyBed.h"
 #include "gateway/StandbyForwarder.h"
-#include "gateway/TwoServerBed.h"
 
 #include <catch2/catch.hpp>
 
@@ -9,51 +9,6 @@
 
 using Bed = TwoServerBed;
 
-namespace {
-
-/// A small instance beside two large ones of its zone, which makes it a
-/// standby. The large ones are unreachable unless the test listens at their
-/// address.
-struct StandbyBed : Bed {
-  StandbyBed() : Bed(0.1) {
-    this->putLarge();
-    this->start();
-    for (int Second = 0; Second < 6; ++Second) {
-      this->advance(1s);
-      this->putLarge();
-    }
-  }
-
-  void putLarge() {
-    for (const char *Name : {"large1", "large2"}) {
-      MemberRecord Large;
-      Large.Name = Name;
-      Large.Zone = "z-a";
-      Large.Region = "z";
-      Large.Address = this->LargeAddress;
-      Large.Capacity = 0.5;
-      Large.WrittenAt = Clock::now().time_since_epoch();
-      this->Tables.put("redwingrack", std::string("instance/") + Name,
-                       encodeMember(Large));
-    }
-  }
-
-  /// Uses \p Server as both large instances, and waits until the standby has
-  /// read their address.
-  void putLargeAt(HttpServer &Server) {
-    REQUIRE(Server.listen("127.0.0.1:0"));
-    this->LargeAddress = "127.0.0.1:" + std::to_string(Server.port());
-    for (int Second = 0; Second < 10; ++Second) {
-      this->putLarge();
-      this->advance(1s);
-    }
-  }
-
-  std::string LargeAddress = "127.0.0.1:1";
-};
-
-} // namespace
-
 // Guards against requests that a standby sends to a draining server because its
 // rows are outdated.
 TEST_CASE("A standby reads the rows before it serves a request, so that a "
