Log how old the rows are with which a server is chosen

The log could not tell its causes apart: servers_age_ms was the time since rows were last applied, also when another instance relayed them from an older read, and only failed requests had it.

The age now counts from the time up to which the read is known to be complete, StandbyEnded (2008) says how old each table is, and the new event OutdatedServersUsed (2406) names each placement with rows older than 2 s, with the instance's state. No decision changes.

--- a/src/features/gateway/BackendRegistry.cpp
+++ b/src/features/gateway/BackendRegistry.cpp
@@ -22,7 +22,6 @@
 
 void BackendRegistry::applyChanges(const TableRows &Rows, bool StoreRecovering,
                                    Clock::time_point Now) {
-  this->State.BackendsReadAt = Now;
   for (const TableRow &Row : Rows.Rows)
     this->apply(Row, StoreRecovering, Now);
 }
--- a/src/features/gateway/Gateway.cpp
+++ b/src/features/gateway/Gateway.cpp
@@ -291,6 +291,7 @@
       }
       co_return this->failRequest(Request, Progress, Decision);
     }
+    this->logOutdatedServers(Request, Decision);
     ServerAttempt Attempt =
         co_await this->sendAttempt(Request, Progress, std::move(Decision));
     this->recordAttempt(Request, Progress, Attempt);
--- a/src/features/gateway/Gateway.h
+++ b/src/features/gateway/Gateway.h
@@ -64,6 +64,9 @@
   /// empty for other reasons.
   HttpMessage refuse(const std::string &Id, HttpMessage Refusal,
                      const std::string &DecidedBy = "");
+  /// Logs a placement that relies on outdated rows of backend servers.
+  void logOutdatedServers(const GatewayRequest &Request,
+                          const Placement &Decision);
   void logAttempt(const GatewayRequest &Request,
                   const RequestProgress &Progress,
                   const ServerAttempt &Attempt) const;
--- a/src/features/gateway/GatewayTelemetry.cpp
+++ b/src/features/gateway/GatewayTelemetry.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Rows older than this have missed several polls.
+constexpr Clock::duration OutdatedServersAge = std::chrono::seconds(2);
+
 /// Outcome label of a request that was not admitted.
 const char *refusalName(const HttpMessage &Refusal) {
   switch (Refusal.Status) {
@@ -85,6 +88,22 @@
   return Refusal;
 }
 
+void Gateway::logOutdatedServers(const GatewayRequest &Request,
+                                 const Placement &Decision) {
+  const Clock::time_point Now = bootTime();
+  const Clock::duration Age = Now - this->State.BackendsCurrentUntil;
+  if (Age <= OutdatedServersAge)
+    return;
+  this->logRateLimited(Event::OutdatedServersUsed, "outdated_servers", [&] {
+    return std::vector<EventField>{
+        {"request", Request.Id},
+        {"server", Decision.Server->Record.Id},
+        {"servers_age_ms", millisecondText(Age)},
+        {"standby", std::to_string(this->State.Standby)},
+        {"in_service_ms", millisecondText(Now - this->State.InServiceSince)}};
+  });
+}
+
 void Gateway::logAttempt(const GatewayRequest &Request,
                          const RequestProgress &Progress,
                          const ServerAttempt &Attempt) const {
@@ -137,7 +156,8 @@
       {"ms", millisecondText(Now - Request.Arrived)},
       {"left_ms", millisecondText(Request.Deadline - Now)},
       {"servers", std::to_string(Decision.EligibleServers)},
-      {"servers_age_ms", millisecondText(Now - this->State.BackendsReadAt)}};
+      {"servers_age_ms",
+       millisecondText(bootTime() - this->State.BackendsCurrentUntil)}};
   // State of the best server without free slots, as this instance sees it.
   if (Decision.Outcome == Placement::Result::Full && Decision.Server) {
     const BackendState &Best = *Decision.Server;
--- a/src/features/gateway/SteeringInstance.cpp
+++ b/src/features/gateway/SteeringInstance.cpp
@@ -105,7 +105,11 @@
              this->Backends.applyChanges(Rows, this->isStoreRecovering(),
                                          Clock::now());
            },
-           nullptr, [this] { this->onStoreReturned(); }}),
+           [this](Clock::time_point AsOf) {
+             this->State.BackendsCurrentUntil =
+                 std::max(this->State.BackendsCurrentUntil, AsOf);
+           },
+           [this] { this->onStoreReturned(); }}),
       MemberTable(
           Io, this->RelayedStore,
           // applyPollPeriods() replaces these once it is known whether the
@@ -113,7 +117,11 @@
           {MemberRegistry::Table, MemberPollPeriod, StandbyMemberPollPeriod},
           {[this](const TableRows &Rows) { this->Members.applySnapshot(Rows); },
            [this](const TableRows &Rows) { this->Members.applyChanges(Rows); },
-           nullptr, [this] { this->onStoreReturned(); }}),
+           [this](Clock::time_point AsOf) {
+             this->State.MembersCurrentUntil =
+                 std::max(this->State.MembersCurrentUntil, AsOf);
+           },
+           [this] { this->onStoreReturned(); }}),
       AnnounceTimer(Io) {
   this->CallerServer.setPipelineFilter([this](const HttpMessage &Request) {
     const std::string *Host = findHeader(Request.Headers, "Host");
--- a/src/features/gateway/SteeringStandby.cpp
+++ b/src/features/gateway/SteeringStandby.cpp
@@ -1,3 +1,4 @@
+#include "gateway/GatewayAttempt.h"
 #include "gateway/SteeringInstance.h"
 #include "gateway/SteeringPollPeriods.h"
 #include "logging/EventLog.h"
@@ -105,7 +106,19 @@
   if (Standby == this->State.Standby)
     return;
   this->State.Standby = Standby;
-  logEvent(Standby ? Event::StandbyBegun : Event::StandbyEnded);
+  if (Standby) {
+    logEvent(Event::StandbyBegun);
+  } else {
+    const Clock::time_point BootNow = bootTime();
+    this->State.InServiceSince = BootNow;
+    logEvent(
+        Event::StandbyEnded,
+        {{"orders_age_ms", millisecondText(BootNow - this->State.OrdersReadAt)},
+         {"servers_age_ms",
+          millisecondText(BootNow - this->State.BackendsCurrentUntil)},
+         {"members_age_ms",
+          millisecondText(BootNow - this->State.MembersCurrentUntil)}});
+  }
   this->applyPollPeriods(this->Moves.hasPendingMove());
   // Announce the change at once.
   this->AnnounceTimer.cancel();
--- a/src/features/gateway/SteeringState.h
+++ b/src/features/gateway/SteeringState.h
@@ -53,8 +53,10 @@
   /// Time on bootTime() until which requests with a key are served.
   Clock::time_point KeysValidUntil{};
   BackendPool Backends;
-  /// Time of the last read of the backend table.
-  Clock::time_point BackendsReadAt{};
+  /// Time on bootTime() up to which all changes of the backend table are known.
+  Clock::time_point BackendsCurrentUntil{};
+  /// The same for the member table.
+  Clock::time_point MembersCurrentUntil{};
   MemberView Members;
   /// Whether this instance takes part in the sums that the fleet shares, such
   /// as quotas; on bootTime().
@@ -80,6 +82,8 @@
   bool MembersKnown = false;
   /// This instance is a standby: callers are not sent to it.
   bool Standby = false;
+  /// Time on bootTime() at which this instance last left standby.
+  Clock::time_point InServiceSince{};
   /// Shared secret of the links between instances; empty before it is read.
   std::string PeerSecret;
   /// A stop was requested.
