--- a/src/features/tables/FakeTables.cpp
+++ b/src/features/tables/FakeTables.cpp
@@ -40,13 +40,16 @@
   this->LastWait = Wait;
   const Clock::time_point End = Clock::now() + Wait;
   for (;;) {
-    if (this->Down || this->DownTables.contains(Table))
-      co_return failure(Errc::Unavailable);
-    if (After < this->OldestHistory)
-      co_return failure(Errc::Stale);
-    TableRows Rows = this->rowsAfter(Table, After, true);
-    if (!Rows.Rows.empty() || Clock::now() >= End)
-      co_return Rows;
+    if (Wait == Clock::duration::zero() ||
+        !this->StalledTables.contains(Table)) {
+      if (this->Down || this->DownTables.contains(Table))
+        co_return failure(Errc::Unavailable);
+      if (After < this->OldestHistory)
+        co_return failure(Errc::Stale);
+      TableRows Rows = this->rowsAfter(Table, After, true);
+      if (!Rows.Rows.empty() || Clock::now() >= End)
+        co_return Rows;
+    }
     co_await sleepFor(PollInterval);
   }
 }
--- a/src/features/tables/FakeTables.h
+++ b/src/features/tables/FakeTables.h
@@ -29,6 +29,10 @@
   bool Down = false;
   /// Tables whose reads fail.
   std::set<std::string> DownTables;
+  /// Reads of changes of these tables that may wait get no answer; those with a
+  /// wait time of zero do. As with an instance that relays tables and is cut
+  /// off.
+  std::set<std::string> StalledTables;
   /// Writes fail without effect; reads succeed.
   bool RefuseWrites = false;
   int Calls = 0;
--- a/src/features/tables/tst_TableWatch.cpp
+++ b/src/features/tables/tst_TableWatch.cpp
@@ -1,3 +1,4 @@
+#include "base/Timer.h"
 #include "tables/FakeTables.h"
 #include "tables/TableWatch.h"
 
@@ -141,3 +142,23 @@
   CHECK(Fixture.Seen.count("a"));
   CHECK_FALSE(Fixture.Watch.isRecovering());
 }
+
+TEST_CASE("A relayed read is no more current than the rows that the other "
+          "instance had read",
+          "[watch][.known-red]") {
+  WatchFixture Fixture;
+  Fixture.Store.ReadChanges =
+      [](std::string, std::uint64_t After,
+         Clock::duration) -> asio::awaitable<Outcome<TableRows>> {
+    co_await sleepFor(500ms);
+    TableRows Rows;
+    Rows.Version = After;
+    Rows.Relayed = true;
+    Rows.AsOf = Clock::now() - 3s;
+    co_return Rows;
+  };
+  Fixture.Loop.spawn(
+      [&]() -> asio::awaitable<void> { co_await Fixture.Watch.run(); });
+  Fixture.Loop.advance(4s);
+  CHECK(Clock::now() - Fixture.Watch.readStart() >= 3s);
+}
