--- a/src/features/tables/TableStore.h
+++ b/src/features/tables/TableStore.h
@@ -20,8 +20,8 @@
   /// All rows of a table.
   std::function<asio::awaitable<Outcome<TableRows>>(std::string Table)>
       ReadTable;
-  /// Changes after the version \p After; the store waits up to \p Wait for the
-  /// first one. Errc::Stale if the store no longer has all of them.
+  /// All changes after the version \p After; the store waits up to \p Wait for
+  /// the first one. Errc::Stale if the store no longer has all of them.
   std::function<asio::awaitable<Outcome<TableRows>>(
       std::string Table, std::uint64_t After, Clock::duration Wait)>
       ReadChanges;
