Serve only with tables that were read since the instance left standby

Cause: a decision that depends on how old several tables are looked at one of them. An instance that had just left standby read the tables before it placed a request only if its orders were outdated. Orders come when they change; the table of servers could be 16 s old, that of instances 8 s, until the first poll ended. Requests that other standbys forwarded and look-ups were served in that time as well.

Change: TableFreshness holds the rule for all tables, on their proven times. An instance that left standby acts as one until each table was read since: it passes requests and look-ups on, or reads the tables first, and declines what a standby forwards. Look-ups that no other instance answers wait for such a read too. A request waits up to 800 ms (400 before), since one table may take several calls, 35 ms away each way.

Result: three tests failed before: a server that drained for 8 s got a request, directly and through another standby, and a look-up named removed instances.

--- a/src/features/gateway/SteeringEndpoints.cpp
+++ b/src/features/gateway/SteeringEndpoints.cpp
@@ -31,15 +31,15 @@
   updateStateMetrics(this->State, this->Counters, Now);
   struct Subject {
     const char *Name;
-    const TableWatch &Table;
+    Clock::time_point CurrentUntil;
   };
-  for (const Subject &Item : {Subject{"orders", this->OrderTable},
-                              {"backends", this->BackendTable},
-                              {"members", this->MemberTable}})
+  const TableTimes Known = this->tableTimes();
+  for (const Subject &Item : {Subject{"orders", Known.Orders},
+                              {"backends", Known.Backends},
+                              {"members", Known.Members}})
     this->Counters.set(
         Metric::SteeringAge, {{"subject", Item.Name}},
-        std::chrono::duration<double>(bootTime() - Item.Table.currentUntil())
-            .count());
+        std::chrono::duration<double>(bootTime() - Item.CurrentUntil).count());
   this->Counters.set(Metric::Running, {},
                      double(this->CallerServer.activeRequests()));
   this->Counters.set(Metric::SteeringRelayedReads, {},
@@ -60,12 +60,14 @@
                                                                           : 400,
                          "not a valid look-up request");
   if (this->State.MembersKnown &&
-      (this->State.Standby || !this->State.Config)) {
-    // A standby has an outdated list of instances, and an instance that has
-    // just started does not know the home regions yet.
+      (!this->followsTables() || !this->State.Config)) {
+    // The list of instances is outdated, or the instance has just started and
+    // does not know the home regions yet.
     auto Answer = co_await this->Forwarder.forwardLookup(Request);
     if (Answer)
       co_return std::move(*Answer);
+    if (this->State.Config)
+      co_await this->refreshTables();
   }
   if (!this->State.Config || !this->State.MembersKnown)
     co_return refusalReply(503, "the list of instances is not known yet",
--- a/src/features/gateway/SteeringInstance.cpp
+++ b/src/features/gateway/SteeringInstance.cpp
@@ -20,8 +20,6 @@
 
 namespace {
 
-/// Maximum age of the orders with which requests of standbys are served.
-constexpr Clock::duration MaxOrdersAge = std::chrono::milliseconds(2600);
 /// Time between two writes of the row of an instance in service.
 constexpr Clock::duration AnnouncePeriod = std::chrono::milliseconds(2400);
 constexpr Clock::duration MembersKnownPollPeriod =
@@ -105,9 +103,8 @@
              this->Backends.applyChanges(Rows, this->isStoreRecovering(),
                                          Clock::now());
            },
-           [this](Clock::time_point AsOf) {
-             this->State.BackendsCurrentUntil =
-                 std::max(this->State.BackendsCurrentUntil, AsOf);
+           [this](Clock::time_point CurrentUntil) {
+             this->State.BackendsCurrentUntil = CurrentUntil;
            },
            [this] { this->onStoreReturned(); }}),
       MemberTable(
@@ -117,11 +114,7 @@
           {MemberRegistry::Table, MemberPollPeriod, StandbyMemberPollPeriod},
           {[this](const TableRows &Rows) { this->Members.applySnapshot(Rows); },
            [this](const TableRows &Rows) { this->Members.applyChanges(Rows); },
-           [this](Clock::time_point AsOf) {
-             this->State.MembersCurrentUntil =
-                 std::max(this->State.MembersCurrentUntil, AsOf);
-           },
-           [this] { this->onStoreReturned(); }}),
+           nullptr, [this] { this->onStoreReturned(); }}),
       AnnounceTimer(Io) {
   this->CallerServer.setPipelineFilter([this](const HttpMessage &Request) {
     const std::string *Host = findHeader(Request.Headers, "Host");
@@ -245,15 +238,15 @@
 asio::awaitable<HttpMessage>
 SteeringInstance::handleCaller(HttpMessage Request, CancellationPtr Cancel) {
   const Clock::time_point Now = bootTime();
-  const bool OrdersOutdated = Now - this->State.OrdersReadAt > MaxOrdersAge;
-  const bool Serves = !this->State.Standby &&
+  const bool OrdersCurrent = areOrdersCurrent(this->tableTimes(), Now);
+  const bool Serves = this->followsTables() &&
                       this->State.QuotaParticipation.mayUseShare(Now) &&
                       Now < this->State.KeysValidUntil;
   const std::uint64_t Version =
       this->State.Config ? this->State.Config->Version : 0;
   const auto MinVersion = StandbyForwarder::takeForwardedVersion(Request);
   if (MinVersion) {
-    if (!Serves || OrdersOutdated || Version < *MinVersion)
+    if (!Serves || !OrdersCurrent || Version < *MinVersion)
       co_return StandbyForwarder::declinedReply();
     HttpMessage Answer = co_await this->RequestGateway.handle(
         std::move(Request), std::move(Cancel));
@@ -265,10 +258,11 @@
     auto Answer = co_await this->Forwarder.forwardRequest(Request, Cancel);
     if (Answer)
       co_return std::move(*Answer);
-    // There may be orders that this instance has not read. If the store is
-    // unavailable to an instance in service, it continues with those it knows.
-    if (this->State.Standby ||
-        (OrdersOutdated && !this->OrderTable.isFailing())) {
+    // The tables may have changed since this instance read them. If the store
+    // is unavailable to an instance that follows them, it continues with what
+    // it knows.
+    if (!this->followsTables() ||
+        (!OrdersCurrent && !this->OrderTable.isFailing())) {
       const bool Current = co_await this->refreshTables();
       if (!Current)
         co_return refusalReply(503, "the store did not answer in time",
--- a/src/features/gateway/SteeringInstance.h
+++ b/src/features/gateway/SteeringInstance.h
@@ -14,6 +14,7 @@
 #include "gateway/SteeringState.h"
 #include "http1/HttpServer.h"
 #include "links/PeerLinks.h"
+#include "steering/TableFreshness.h"
 #include "tables/TableRelay.h"
 #include "tables/TableStore.h"
 #include "tables/TableWatch.h"
@@ -56,13 +57,14 @@
   /// Counts a request of a caller. Takes the instance into service, or keeps it
   /// there, if requests arrive frequently.
   void recordRequest(Clock::time_point Now);
+  TableTimes tableTimes() const;
+  /// Whether this instance is in service and has read all tables since it left
+  /// standby.
+  bool followsTables() const;
   /// Reads the changes of all tables at once. False if the store did not answer
   /// in time.
   asio::awaitable<bool> refreshTables();
   asio::awaitable<void> refreshTable(TableWatch &Table);
-  /// Whether all tables are complete up to a time recent enough before \p Now,
-  /// on bootTime(), to serve a request.
-  bool areTablesCurrent(Clock::time_point Now) const;
   /// Called when the store answers again for one table.
   void onStoreReturned();
   /// Whether the store was unavailable recently, so that missing rows of
--- a/src/features/gateway/SteeringStandby.cpp
+++ b/src/features/gateway/SteeringStandby.cpp
@@ -24,11 +24,8 @@
 constexpr Clock::duration ActivationWindow = std::chrono::seconds(3);
 /// It stays in service for this long after it last reached that rate.
 constexpr Clock::duration MinInServiceTime = std::chrono::seconds(30);
-/// Rows that are complete up to at most this long before a request are current
-/// for it.
-constexpr Clock::duration MaxReadAge = std::chrono::milliseconds(500);
-/// Longest wait of a request for current rows.
-constexpr Clock::duration RefreshTimeout = std::chrono::milliseconds(400);
+/// Longest wait of a request for current rows. A table may take several calls.
+constexpr Clock::duration RefreshTimeout = std::chrono::milliseconds(800);
 constexpr Clock::duration RefreshPollPeriod = std::chrono::milliseconds(5);
 
 } // namespace
@@ -47,12 +44,14 @@
   this->updateStandby(Now);
 }
 
-bool SteeringInstance::areTablesCurrent(Clock::time_point Now) const {
-  return std::min({this->OrderTable.currentUntil(),
-                   this->BackendTable.currentUntil(),
-                   this->MemberTable.currentUntil()}) +
-             MaxReadAge >=
-         Now;
+TableTimes SteeringInstance::tableTimes() const {
+  return {this->OrderTable.currentUntil(), this->BackendTable.currentUntil(),
+          this->MemberTable.currentUntil()};
+}
+
+bool SteeringInstance::followsTables() const {
+  return !this->State.Standby &&
+         rr::followsTables(this->tableTimes(), this->State.InServiceSince);
 }
 
 asio::awaitable<void> SteeringInstance::refreshTable(TableWatch &Table) {
@@ -64,13 +63,13 @@
 asio::awaitable<bool> SteeringInstance::refreshTables() {
   const Clock::time_point Now = bootTime();
   const Clock::time_point WaitUntil = Clock::now() + RefreshTimeout;
-  if (!this->areTablesCurrent(Now) && this->RunningRefreshes == 0)
+  if (!wereJustRead(this->tableTimes(), Now) && this->RunningRefreshes == 0)
     for (TableWatch *Table :
          {&this->OrderTable, &this->BackendTable, &this->MemberTable})
       asio::co_spawn(this->Context, this->refreshTable(*Table), asio::detached);
-  while (!this->areTablesCurrent(Now) && Clock::now() < WaitUntil)
+  while (!wereJustRead(this->tableTimes(), Now) && Clock::now() < WaitUntil)
     co_await sleepFor(RefreshPollPeriod);
-  co_return this->areTablesCurrent(Now);
+  co_return wereJustRead(this->tableTimes(), Now);
 }
 
 Clock::duration SteeringInstance::timeUntilJoin() const {
@@ -114,13 +113,11 @@
   } else {
     const Clock::time_point BootNow = bootTime();
     this->State.InServiceSince = BootNow;
-    logEvent(
-        Event::StandbyEnded,
-        {{"orders_age_ms", millisecondText(BootNow - this->State.OrdersReadAt)},
-         {"servers_age_ms",
-          millisecondText(BootNow - this->State.BackendsCurrentUntil)},
-         {"members_age_ms",
-          millisecondText(BootNow - this->State.MembersCurrentUntil)}});
+    const TableTimes Known = this->tableTimes();
+    logEvent(Event::StandbyEnded,
+             {{"orders_age_ms", millisecondText(BootNow - Known.Orders)},
+              {"servers_age_ms", millisecondText(BootNow - Known.Backends)},
+              {"members_age_ms", millisecondText(BootNow - Known.Members)}});
   }
   this->applyPollPeriods(this->Moves.hasPendingMove());
   // Announce the change at once.
--- a/src/features/gateway/SteeringState.h
+++ b/src/features/gateway/SteeringState.h
@@ -55,8 +55,6 @@
   BackendPool Backends;
   /// Time on bootTime() up to which all changes of the backend table are known.
   Clock::time_point BackendsCurrentUntil{};
-  /// The same for the member table.
-  Clock::time_point MembersCurrentUntil{};
   MemberView Members;
   /// Whether this instance takes part in the sums that the fleet shares, such
   /// as quotas; on bootTime().
--- a/src/features/gateway/tst_CurrentTables.cpp
+++ b/src/features/gateway/tst_CurrentTables.cpp
@@ -38,7 +38,7 @@
 
 TEST_CASE("An instance that has just left standby sends no request to a server "
           "that began to drain while it was a standby",
-          "[current-tables][.known-red]") {
+          "[current-tables]") {
   FormerStandbyBed B;
   REQUIRE_FALSE(B.Instance->state().Standby);
   CHECK(hasStatus(B.request("GET", "/open/x"), 503));
@@ -47,7 +47,7 @@
 
 TEST_CASE("An instance that has just left standby declines forwarded requests "
           "until it knows which servers drain",
-          "[current-tables][.known-red]") {
+          "[current-tables]") {
   FormerStandbyBed B;
   REQUIRE_FALSE(B.Instance->state().Standby);
   for (int Step = 0; Step < 2000 && !B.Instance->isReady(); ++Step)
@@ -79,7 +79,7 @@
 
 TEST_CASE("An instance that has just left standby names no removed instance in "
           "a look-up",
-          "[current-tables][.known-red]") {
+          "[current-tables]") {
   StandbyBed B;
   HttpServer Large(B.Context,
                    [](HttpMessage Request,
