Read the servers' rows before a choice if they are older than the drain time allows

Cause: nothing bounded the age of the rows with which a server is chosen. An instance in service relied on its polls being in time; one that follows a reader that was cut off waits 1.35 s for each table before it reads the store, on top of the period of 1 s, and the drain time, which differs between deployments (2 to 4 s), was not among the settings.

Change: bounds.drain_s. Before each choice of a server, also for another attempt, rows older than the drain time less 0.6 s (what a request takes to the server) are read from the store, by one read for all waiting requests. If the store does not answer within 400 ms, the instance goes on with what it knows and does not wait again for a second. An instance with older rows declines what a standby forwards. Event 2406 now names a choice beyond that bound.

Result: the test failed before.

--- a/src/features/gateway/Gateway.cpp
+++ b/src/features/gateway/Gateway.cpp
@@ -278,6 +278,8 @@
         Steering->second.choose(Request.Route->Name, Clock::now());
   this->retryBudgetFor(Progress.Service).addRequest();
   for (;;) {
+    if (this->ReadBackends)
+      co_await this->ReadBackends();
     Placement Decision = this->placeRequest(Request, Progress);
     if (Decision.Outcome != Placement::Result::Found) {
       // If the new version has no free slots, the proven versions serve its
--- a/src/features/gateway/Gateway.h
+++ b/src/features/gateway/Gateway.h
@@ -33,6 +33,11 @@
                                       CancellationPtr Cancel);
 
   HttpConnectionPool &links() { return this->Links; }
+  /// Sets the function that reads the rows of backend servers if they are
+  /// outdated. It is called before each choice of a server.
+  void setBackendReader(std::function<asio::awaitable<void>()> Reader) {
+    this->ReadBackends = std::move(Reader);
+  }
   /// Sets a handler that is called with the name of a service when this
   /// instance stops the rollout of the service's new version because of errors
   /// or latency.
@@ -96,6 +101,7 @@
   HttpConnectionPool Links;
   RandomEngine Random;
   RateLimitedLog Log;
+  std::function<asio::awaitable<void>()> ReadBackends;
   std::function<void(const std::string &)> VersionStopped;
 };
 
--- a/src/features/gateway/GatewayTelemetry.cpp
+++ b/src/features/gateway/GatewayTelemetry.cpp
@@ -1,14 +1,12 @@
 #include "gateway/GatewayAttempt.h"
 #include "gateway/SteeringMetrics.h"
+#include "steering/TableFreshness.h"
 #include "tables/BootTime.h"
 
 namespace rr {
 
 namespace {
 
-/// Rows older than this have missed several polls.
-constexpr Clock::duration OutdatedServersAge = std::chrono::seconds(2);
-
 /// Outcome label of a request that was not admitted.
 const char *refusalName(const HttpMessage &Refusal) {
   switch (Refusal.Status) {
@@ -91,14 +89,15 @@
 void Gateway::logOutdatedServers(const GatewayRequest &Request,
                                  const Placement &Decision) {
   const Clock::time_point Now = bootTime();
-  const Clock::duration Age = Now - this->State.BackendsCurrentUntil;
-  if (Age <= OutdatedServersAge)
+  const Clock::time_point Known = this->State.BackendsCurrentUntil;
+  if (areBackendsCurrent({{}, Known, {}}, Now,
+                         this->State.Settings.Bounds.DrainTime))
     return;
   this->logRateLimited(Event::OutdatedServersUsed, "outdated_servers", [&] {
     return std::vector<EventField>{
         {"request", Request.Id},
         {"server", Decision.Server->Record.Id},
-        {"servers_age_ms", millisecondText(Age)},
+        {"servers_age_ms", millisecondText(Now - Known)},
         {"standby", std::to_string(this->State.Standby)},
         {"in_service_ms", millisecondText(Now - this->State.InServiceSince)}};
   });
--- a/src/features/gateway/SteeringBounds.h
+++ b/src/features/gateway/SteeringBounds.h
@@ -10,6 +10,9 @@
 struct SteeringBounds {
   /// Longest time for which a withdrawn key is accepted.
   Clock::duration RevocationTime = std::chrono::seconds(5);
+  /// Longest time after a backend server said that it drains until it gets no
+  /// more requests.
+  Clock::duration DrainTime = std::chrono::seconds(2);
   /// Time from the order to stop until the process is killed.
   Clock::duration StopTime = std::chrono::seconds(6);
   /// Longest time for which a caller uses a look-up result.
--- a/src/features/gateway/SteeringInstance.cpp
+++ b/src/features/gateway/SteeringInstance.cpp
@@ -147,6 +147,8 @@
            return std::nullopt;
          return RelayPeer{Peer->Name, Peer->PeerAddress};
        }});
+  this->RequestGateway.setBackendReader(
+      [this] { return this->refreshBackends(); });
   this->RequestGateway.onVersionStopped(WakeUp);
   this->Members.onVersionStopped(WakeUp);
 }
@@ -246,7 +248,10 @@
       this->State.Config ? this->State.Config->Version : 0;
   const auto MinVersion = StandbyForwarder::takeForwardedVersion(Request);
   if (MinVersion) {
-    if (!Serves || !OrdersCurrent || Version < *MinVersion)
+    // The standby that asks can also ask another instance.
+    if (!Serves || !OrdersCurrent || Version < *MinVersion ||
+        !areBackendsCurrent(this->tableTimes(), Now,
+                            this->State.Settings.Bounds.DrainTime))
       co_return StandbyForwarder::declinedReply();
     HttpMessage Answer = co_await this->RequestGateway.handle(
         std::move(Request), std::move(Cancel));
--- a/src/features/gateway/SteeringInstance.h
+++ b/src/features/gateway/SteeringInstance.h
@@ -64,7 +64,11 @@
   /// Reads the changes of all tables at once. False if the store did not answer
   /// in time.
   asio::awaitable<bool> refreshTables();
-  asio::awaitable<void> refreshTable(TableWatch &Table);
+  /// Reads the changes of the backend table if its rows are outdated. If the
+  /// store does not answer, the rows stay as they are.
+  asio::awaitable<void> refreshBackends();
+  /// Starts a read of the changes of \p Table, unless one is running.
+  void startRefresh(TableWatch &Table);
   /// Called when the store answers again for one table.
   void onStoreReturned();
   /// Whether the store was unavailable recently, so that missing rows of
@@ -123,7 +127,9 @@
   Clock::time_point InServiceUntil{};
   /// Arrival times of recent requests while the instance is not needed.
   std::deque<Clock::time_point> RecentRequests;
-  int RunningRefreshes = 0;
+  /// Until then requests do not wait for the backend table, since the store did
+  /// not answer.
+  Clock::time_point SkipBackendRefreshUntil{};
   bool Stopped = false;
   bool ReadyLogged = false;
 };
--- a/src/features/gateway/SteeringStandby.cpp
+++ b/src/features/gateway/SteeringStandby.cpp
@@ -26,6 +26,11 @@
 constexpr Clock::duration MinInServiceTime = std::chrono::seconds(30);
 /// Longest wait of a request for current rows. A table may take several calls.
 constexpr Clock::duration RefreshTimeout = std::chrono::milliseconds(800);
+/// The same for an instance in service, which is a few changes behind.
+constexpr Clock::duration BackendRefreshTimeout =
+    std::chrono::milliseconds(400);
+/// Requests do not wait again for this long after a wait in vain.
+constexpr Clock::duration RefreshBackoff = std::chrono::seconds(1);
 constexpr Clock::duration RefreshPollPeriod = std::chrono::milliseconds(5);
 
 } // namespace
@@ -54,24 +59,44 @@
          rr::followsTables(this->tableTimes(), this->State.InServiceSince);
 }
 
-asio::awaitable<void> SteeringInstance::refreshTable(TableWatch &Table) {
-  ++this->RunningRefreshes;
-  co_await Table.refresh();
-  --this->RunningRefreshes;
+void SteeringInstance::startRefresh(TableWatch &Table) {
+  if (Table.isRefreshing())
+    return;
+  asio::co_spawn(
+      this->Context,
+      [&Table]() -> asio::awaitable<void> { co_await Table.refresh(); },
+      asio::detached);
 }
 
 asio::awaitable<bool> SteeringInstance::refreshTables() {
   const Clock::time_point Now = bootTime();
   const Clock::time_point WaitUntil = Clock::now() + RefreshTimeout;
-  if (!wereJustRead(this->tableTimes(), Now) && this->RunningRefreshes == 0)
+  if (!wereJustRead(this->tableTimes(), Now))
     for (TableWatch *Table :
          {&this->OrderTable, &this->BackendTable, &this->MemberTable})
-      asio::co_spawn(this->Context, this->refreshTable(*Table), asio::detached);
+      this->startRefresh(*Table);
   while (!wereJustRead(this->tableTimes(), Now) && Clock::now() < WaitUntil)
     co_await sleepFor(RefreshPollPeriod);
   co_return wereJustRead(this->tableTimes(), Now);
 }
 
+asio::awaitable<void> SteeringInstance::refreshBackends() {
+  const Clock::duration DrainTime = this->State.Settings.Bounds.DrainTime;
+  const Clock::time_point Now = bootTime();
+  if (areBackendsCurrent(this->tableTimes(), Now, DrainTime) ||
+      this->BackendTable.isFailing() ||
+      Clock::now() < this->SkipBackendRefreshUntil)
+    co_return;
+  const Clock::time_point WaitUntil = Clock::now() + BackendRefreshTimeout;
+  this->startRefresh(this->BackendTable);
+  do {
+    co_await sleepFor(RefreshPollPeriod);
+    if (areBackendsCurrent(this->tableTimes(), Now, DrainTime))
+      co_return;
+  } while (this->BackendTable.isRefreshing() && Clock::now() < WaitUntil);
+  this->SkipBackendRefreshUntil = Clock::now() + RefreshBackoff;
+}
+
 Clock::duration SteeringInstance::timeUntilJoin() const {
   const Clock::duration Wait =
       this->State.QuotaParticipation.usableFrom() - bootTime();
--- a/src/features/gateway/tst_CurrentTables.cpp
+++ b/src/features/gateway/tst_CurrentTables.cpp
@@ -64,7 +64,7 @@
 
 TEST_CASE("An instance in service whose reads stall sends no request to a "
           "server that has been draining for longer than the drain time",
-          "[current-tables][.known-red]") {
+          "[current-tables]") {
   TwoServerBed B;
   B.start();
   B.advance(1s);
--- a/src/features/steering/TableFreshness.h
+++ b/src/features/steering/TableFreshness.h
@@ -27,6 +27,12 @@
 /// forwards.
 bool areOrdersCurrent(const TableTimes &Known, Clock::time_point Now);
 
+/// Whether a server may be chosen from the known rows of backend servers, if
+/// the store can be read. \p DrainTime is the time after which a draining
+/// server gets no more requests.
+bool areBackendsCurrent(const TableTimes &Known, Clock::time_point Now,
+                        Clock::duration DrainTime);
+
 } // namespace rr
 
 #endif // REDWINGRACK_STEERING_TABLEFRESHNESS_H
--- a/src/features/steering/tst_TableFreshness.cpp
+++ b/src/features/steering/tst_TableFreshness.cpp
@@ -29,3 +29,17 @@
   CHECK(areOrdersCurrent({Start, {}, {}}, Start + 2600ms));
   CHECK_FALSE(areOrdersCurrent({Start, {}, {}}, Start + 2601ms));
 }
+
+TEST_CASE("A request reaches its server within the drain time of the rows with "
+          "which it was placed",
+          "[table-freshness]") {
+  const TableTimes Known{{}, Start, {}};
+  for (const Clock::duration DrainTime : {2000ms, 2500ms, 4000ms}) {
+    CHECK(areBackendsCurrent(Known, Start + DrainTime - 600ms, DrainTime));
+    CHECK_FALSE(
+        areBackendsCurrent(Known, Start + DrainTime - 599ms, DrainTime));
+  }
+  // With a drain time below two polls, rows are still of use.
+  CHECK(areBackendsCurrent(Known, Start + 400ms, 800ms));
+  CHECK_FALSE(areBackendsCurrent(Known, Start + 401ms, 800ms));
+}
--- a/src/features/tables/TableWatch.cpp
+++ b/src/features/tables/TableWatch.cpp
@@ -92,11 +92,13 @@
 }
 
 asio::awaitable<bool> TableWatch::refresh() {
-  if (!this->Loaded)
+  if (!this->Loaded || this->Refreshing)
     co_return false;
+  this->Refreshing = true;
   const Clock::time_point Start = bootTime();
   const auto Read = co_await this->Store.ReadChanges(
       this->Settings.Table, this->Version, Clock::duration{0});
+  this->Refreshing = false;
   if (this->Stopped || !Read)
     co_return false;
   this->recordSuccess();
--- a/src/features/tables/TableWatch.h
+++ b/src/features/tables/TableWatch.h
@@ -42,8 +42,9 @@
   /// Runs until stop().
   asio::awaitable<void> run();
   /// Reads the changes immediately, concurrently with run(). Returns true if
-  /// the store answered.
+  /// the store answered; false at once while another refresh() runs.
   asio::awaitable<bool> refresh();
+  bool isRefreshing() const { return this->Refreshing; }
   void stop() { this->Stopped = true; }
   /// Time on the clock of bootTime() up to which all changes have been applied.
   Clock::time_point currentUntil() const { return this->CurrentUntil; }
@@ -78,6 +79,7 @@
   bool Loaded = false;
   /// The last rows were relayed by another instance.
   bool Relayed = false;
+  bool Refreshing = false;
   bool Stopped = false;
 };
 
