Add a failing test for servers kept after an outage by a standby

A standby asks every 4 s, so its grace may begin when that of the others is long over, and a request in that time goes to a server that is gone.

--- a/src/features/gateway/tst_CurrentTables.cpp
+++ b/src/features/gateway/tst_CurrentTables.cpp
@@ -100,3 +100,21 @@
   CHECK(Caller.Ended);
   CHECK(Caller.Received.find(B.LargeAddress) == std::string::npos);
 }
+
+TEST_CASE(
+    "A standby that reads the servers' rows long after an outage sends no "
+    "request to a server that is gone",
+    "[current-tables][.known-red]") {
+  StandbyBed B;
+  B.Tables.DownTables = {"backends"};
+  for (int Step = 0; Step < 3000 && B.Tables.FailedReads < 2; ++Step)
+    B.advance(10ms);
+  REQUIRE(B.Instance->state().Standby);
+  for (const char *Id : {"b1", "b2"})
+    B.Tables.erase("backends", Id);
+  B.Tables.DownTables.clear();
+  // Rows that expired in an outage are back two seconds after it.
+  B.advance(3s);
+  CHECK(hasStatus(B.request("GET", "/open/x"), 503));
+  CHECK(B.arrivals() == 0);
+}
--- a/src/features/tables/FakeTables.cpp
+++ b/src/features/tables/FakeTables.cpp
@@ -42,8 +42,10 @@
   for (;;) {
     if (Wait == Clock::duration::zero() ||
         !this->StalledTables.contains(Table)) {
-      if (this->Down || this->DownTables.contains(Table))
+      if (this->Down || this->DownTables.contains(Table)) {
+        ++this->FailedReads;
         co_return failure(Errc::Unavailable);
+      }
       if (After < this->OldestHistory)
         co_return failure(Errc::Stale);
       TableRows Rows = this->rowsAfter(Table, After, true);
--- a/src/features/tables/FakeTables.h
+++ b/src/features/tables/FakeTables.h
@@ -36,6 +36,8 @@
   /// Writes fail without effect; reads succeed.
   bool RefuseWrites = false;
   int Calls = 0;
+  /// Reads of changes that failed because the store or the table was down.
+  int FailedReads = 0;
   /// Maximum wait time that the last read of changes asked for.
   Clock::duration LastWait{0};
 
