Run all timers that are due in each step of a paused clock

Cause: after the paused clock moved, an expired timer was armed so that the reactor checks all its timers, and the loop was polled until poll() returned 0. The kernel reports the expiry of the timer a moment later here, so poll() returned 0 before the timers were looked at and the step was lost. The same lines stood in InstanceTestBed and SoakFleet.

A round ends only when the expired timer's own handler has run, and rounds go on until one runs nothing else, so timers that handlers start are included.

--- a/src/features/gateway/InstanceTestBed.cpp
+++ b/src/features/gateway/InstanceTestBed.cpp
@@ -1,6 +1,7 @@
 #include "gateway/InstanceTestBed.h"
 
 #include "base/Timer.h"
+#include "testing/RunReady.h"
 
 namespace rr {
 
@@ -73,11 +74,7 @@
   constexpr Clock::duration Step = std::chrono::milliseconds(10);
   for (Clock::duration Passed{0}; Passed < Time; Passed += Step) {
     Clock::advance(Step);
-    Timer Trigger(this->Context, Clock::time_point::min());
-    Trigger.async_wait([](const asio::error_code &) {});
-    this->Context.restart();
-    while (this->Context.poll() > 0) {
-    }
+    runReady(this->Context);
   }
 }
 
@@ -91,8 +88,7 @@
             (Key.empty() ? "" : "Key: " + Key + "\r\n") +
             "Workspace: forged\r\nConnection: close\r\n\r\n");
   for (int Step = 0; Step < 400 && !Peer.Ended; ++Step) {
-    this->Context.restart();
-    this->Context.poll();
+    runReady(this->Context);
     if (!Peer.Ended)
       this->advance(std::chrono::milliseconds(10));
   }
--- a/src/features/gateway/SoakFleet.cpp
+++ b/src/features/gateway/SoakFleet.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Timer.h"
 #include "gateway/InstanceTestBed.h"
+#include "testing/RunReady.h"
 
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
@@ -295,30 +296,15 @@
   }
 }
 
-void SoakFleet::pollAll() {
-  bool Progressed = true;
-  for (int Round = 0; Progressed && Round < 10000; ++Round) {
-    Progressed = this->SharedContext.poll() > 0;
-    for (const auto &Item : this->Nodes)
-      if (Item->Context && Clock::now() >= Item->FrozenUntil)
-        Progressed = Item->Context->poll() > 0 || Progressed;
-  }
-}
-
 void SoakFleet::step() {
   Clock::advance(Step);
   this->restartNodes();
   this->maintainServers();
-  const auto Wake = [](asio::io_context &Context) {
-    Context.restart();
-    auto Trigger = std::make_shared<Timer>(Context, Clock::time_point::min());
-    Trigger->async_wait([Trigger](const asio::error_code &) {});
-  };
-  Wake(this->SharedContext);
+  std::vector<asio::io_context *> Running{&this->SharedContext};
   for (const auto &Item : this->Nodes)
     if (Item->Context && Clock::now() >= Item->FrozenUntil)
-      Wake(*Item->Context);
-  this->pollAll();
+      Running.push_back(Item->Context.get());
+  runReady(Running);
 }
 
 void SoakFleet::runWithFaults(Clock::duration Time) {
--- a/src/features/gateway/SoakFleet.h
+++ b/src/features/gateway/SoakFleet.h
@@ -98,7 +98,6 @@
     return Zone.substr(0, 1);
   }
   void step();
-  void pollAll();
   void sendRequests();
   void injectFault();
   void addNode(const std::string &Name, const std::string &Zone,
--- a/src/libs/base/tst_Clock.cpp
+++ b/src/libs/base/tst_Clock.cpp
@@ -34,3 +34,21 @@
   Loop.run();
   CHECK(Woken);
 }
+
+// Guards against steps in which due timers do not run because the kernel
+// reports the expiry late.
+TEST_CASE("Each step of a paused clock runs all timers that are due") {
+  TestLoop Loop;
+  int Wakeups = 0;
+  Loop.spawn([&]() -> asio::awaitable<void> {
+    for (;;) {
+      co_await sleepFor(10ms);
+      co_await sleepFor(0ms);
+      ++Wakeups;
+    }
+  });
+  for (int Step = 1; Step <= 2000; ++Step) {
+    Loop.advance(10ms);
+    REQUIRE(Wakeups == Step);
+  }
+}
--- a/src/libs/testing/TestLoop.cpp
+++ b/src/libs/testing/TestLoop.cpp
@@ -1,6 +1,6 @@
 #include "testing/TestLoop.h"
 
-#include "base/Timer.h"
+#include "testing/RunReady.h"
 
 #include <algorithm>
 #include <asio/co_spawn.hpp>
@@ -27,15 +27,7 @@
   this->run();
 }
 
-void TestLoop::run() {
-  // The reactor checks timers only at its next kernel time-out, which follows
-  // real time. An expired timer makes it check all timers now.
-  Timer Trigger(this->Context, Clock::time_point::min());
-  Trigger.async_wait([](const asio::error_code &) {});
-  this->Context.restart();
-  while (this->Context.poll() > 0) {
-  }
-}
+void TestLoop::run() { runReady(this->Context); }
 
 void TestLoop::advance(Clock::duration Time, Clock::duration Step) {
   while (Time > Clock::duration::zero()) {
