Log requests that are lost in a crash of their server

For the incident on BUDGET: from the log nobody could tell whether a request crashed the servers that ran it, lost its connection, or was lost beside another one. AttemptFailed (2402) says "failed" for all of them.

After a connection ended without an answer, the instance tries a new connection to the server. A server that runs accepts it. If it does not, event 2407 names each request that was lost with it, with the request's fingerprint (workspace, method, path and body), which stays the same when the caller sends it again under another id. Several losses of one server share one try.

--- a/src/features/gateway/Gateway.cpp
+++ b/src/features/gateway/Gateway.cpp
@@ -7,6 +7,7 @@
 #include "gateway/RequestAdmission.h"
 #include "gateway/SteeringMetrics.h"
 #include "http1/MessageSerializer.h"
+#include "quarantine/Fingerprint.h"
 #include "steering/ObservedLoad.h"
 #include "steering/RetryAllowance.h"
 #include "tables/BootTime.h"
@@ -60,6 +61,12 @@
 
 namespace {
 
+std::string fingerprintOf(const GatewayRequest &Request) {
+  return requestFingerprint(Request.Workspace ? Request.Workspace->Name : "",
+                            Request.Message.Method, Request.Message.Target,
+                            Request.Message.Body);
+}
+
 /// One answer may use at most half of the body budget, so that an endless
 /// answer leaves room for others.
 ParserLimits answerLimits(const SteeringState &State) {
@@ -74,7 +81,7 @@
                  QuotaExchange &Exchange, Metrics &InstanceMetrics)
     : State(SharedState), Quotas(Exchange), Counters(InstanceMetrics),
       Links(Io, MaxIdleLinksPerServer, answerLimits(SharedState)),
-      Random(randomSeed()) {}
+      Crashes(Io, this->Links), Random(randomSeed()) {}
 
 asio::awaitable<HttpMessage> Gateway::handle(HttpMessage Message,
                                              CancellationPtr Cancel) {
@@ -144,10 +151,7 @@
   Call.Request = Request.Message;
   Call.Request.Headers.push_back({Names.Deadline, millisecondText(Left)});
   Call.Request.Headers.push_back({Names.ExpectedServer, Server->Record.Id});
-  const Clock::duration RoundTrip =
-      this->State.Network.roundTrip(Server->Record.Zone, Server->Region);
-  Call.ConnectDeadline =
-      Start + std::max(MinConnectTimeout, RoundTrip * ConnectRoundTrips);
+  Call.ConnectDeadline = Start + this->connectTimeout(*Server);
   Call.Deadline = Request.Deadline;
   Call.Cancel = Request.Cancel;
   Call.Accepts = [&Names, Id = Request.Id](const HttpMessage &Answer) {
@@ -165,6 +169,12 @@
   co_return Attempt;
 }
 
+Clock::duration Gateway::connectTimeout(const BackendState &Server) const {
+  const Clock::duration RoundTrip =
+      this->State.Network.roundTrip(Server.Record.Zone, Server.Region);
+  return std::max(MinConnectTimeout, RoundTrip * ConnectRoundTrips);
+}
+
 void Gateway::recordAttempt(const GatewayRequest &Request,
                             const RequestProgress &Progress,
                             const ServerAttempt &Attempt) {
@@ -200,6 +210,12 @@
                       (Answered && isServerError(Attempt.Exchange.Response));
   if (Attempt.Result == AttemptResult::Failed)
     this->State.LastServerLoss = Now;
+  if (Attempt.Result == AttemptResult::Failed &&
+      Attempt.Exchange.Error == make_error_code(Errc::ConnectionLost))
+    this->Crashes.recordLoss(
+        Attempt.Decision.Server,
+        {Request.Id, fingerprintOf(Request), Now - Attempt.Time, Now},
+        this->connectTimeout(Server));
   noteAttempt(Server, Failed || Attempt.Result == AttemptResult::NotRun, Now);
   if (Attempt.Result == AttemptResult::NotRun)
     return;
--- a/src/features/gateway/Gateway.h
+++ b/src/features/gateway/Gateway.h
@@ -4,6 +4,7 @@
 #include "base/Cancellation.h"
 #include "base/Random.h"
 #include "gateway/AttemptResult.h"
+#include "gateway/CrashDetector.h"
 #include "gateway/GatewayRequest.h"
 #include "gateway/RateLimitedLog.h"
 #include "gateway/SteeringState.h"
@@ -33,6 +34,7 @@
                                       CancellationPtr Cancel);
 
   HttpConnectionPool &links() { return this->Links; }
+  CrashDetector &crashes() { return this->Crashes; }
   /// Sets the function that reads the rows of backend servers if they are
   /// outdated. It is called before each choice of a server.
   void setBackendReader(std::function<asio::awaitable<void>()> Reader) {
@@ -54,6 +56,7 @@
   asio::awaitable<ServerAttempt> sendAttempt(const GatewayRequest &Request,
                                              const RequestProgress &Progress,
                                              Placement Decision);
+  Clock::duration connectTimeout(const BackendState &Server) const;
   /// Updates server health, latency estimates and version statistics from a
   /// finished attempt.
   void recordAttempt(const GatewayRequest &Request,
@@ -99,6 +102,7 @@
   QuotaExchange &Quotas;
   Metrics &Counters;
   HttpConnectionPool Links;
+  CrashDetector Crashes;
   RandomEngine Random;
   RateLimitedLog Log;
   std::function<asio::awaitable<void>()> ReadBackends;
--- a/src/libs/http1/HttpConnectionPool.cpp
+++ b/src/libs/http1/HttpConnectionPool.cpp
@@ -81,6 +81,18 @@
   co_return Result;
 }
 
+asio::awaitable<std::error_code>
+HttpConnectionPool::tryConnect(std::string Address,
+                               Clock::time_point Deadline) {
+  const auto Server = parseEndpoint(Address);
+  if (!Server)
+    co_return make_error_code(Errc::Malformed);
+  const auto Connection = std::make_shared<HttpConnection>(this->Context);
+  const auto Error = co_await Connection->connect(*Server, Deadline);
+  Connection->close();
+  co_return Error;
+}
+
 void HttpConnectionPool::closeIdle(const std::string &Address) {
   this->IdleConnections.erase(Address);
 }
--- a/src/libs/http1/HttpConnectionPool.h
+++ b/src/libs/http1/HttpConnectionPool.h
@@ -38,6 +38,11 @@
   /// twice: the caller decides about retries.
   asio::awaitable<ExchangeResult> call(Call Parameters);
 
+  /// Opens a connection to \p Address and closes it. Errors as of
+  /// HttpConnection::connect(), and Errc::Malformed.
+  asio::awaitable<std::error_code> tryConnect(std::string Address,
+                                              Clock::time_point Deadline);
+
   /// Closes the idle connections to an address.
   void closeIdle(const std::string &Address);
   /// Closes the idle connections whose idle timeout at the server is about to
