Refuse requests that crash the servers that run them, on all instances

Cause: nothing in `steer` remembered a request beyond its own attempts. The limits on retries count per request id and per service, and the request returns with another id, at another instance. Class: state that a promise about the whole fleet needs was kept per request.

Change: an instance that loses requests in a crash writes a row for each to the product's own table, which all instances follow. A request that was lost with two servers, and was sent to one of them after it was lost with the other, is refused with 503 and the time that is left as Retry-After. An answer to it ends the suspicion; instances remember their answers of the last seconds, so one that came before the rows were read counts. A suspected request that is lost again is not sent to another server at once. For 10 s after a loss the table is read every 0.5 s. An instance that starts later reads the rows.

Why it works: the identity of a request is what the server sees of it, and the evidence outlives the attempt, the connection and the instance. Two copies of the evidence cannot disagree, since a row is named by request and server run.

--- a/src/features/gateway/FleetTestBed.cpp
+++ b/src/features/gateway/FleetTestBed.cpp
@@ -6,6 +6,7 @@
 
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
+#include <asio/post.hpp>
 
 namespace rr {
 
@@ -46,26 +47,34 @@
   this->advance(StartTime);
 }
 
-FleetTestBed::Server &FleetTestBed::addServer(const std::string &Id) {
+void FleetTestBed::listen(const std::string &Id, const std::string &Address) {
   Server &Item = this->Servers[Id];
   Item.Http = std::make_unique<HttpServer>(
       this->Context, [this, Id](HttpMessage Message, const CancellationPtr &) {
         return this->serve(Id, std::move(Message));
       });
-  if (!Item.Http->listen("127.0.0.1:0"))
+  if (!Item.Http->listen(Address))
     std::abort();
   Item.Address = "127.0.0.1:" + std::to_string(Item.Http->port());
+}
+
+FleetTestBed::Server &FleetTestBed::addServer(const std::string &Id) {
+  this->listen(Id, "127.0.0.1:0");
+  Server &Item = this->Servers.at(Id);
   this->Tables.put("backends", Id, Item.Address + " z-a ready");
   return Item;
 }
 
-void FleetTestBed::crash(const std::string &Id) {
-  this->Crashes.push_back(Clock::now());
+void FleetTestBed::close(Server &Item) {
+  Item.Http->stopAccepting();
+  this->Ended.push_back(std::move(Item.Http));
   // The handler that called this runs in a session of the server.
-  auto Item = std::move(this->Servers.at(Id).Http);
-  Item->stopAccepting();
-  this->Ended.push_back(std::move(Item));
   asio::post(this->Context, [this] { this->Ended.clear(); });
+}
+
+void FleetTestBed::crash(const std::string &Id) {
+  this->Crashes.push_back(Clock::now());
+  this->close(this->Servers.at(Id));
   this->Tables.erase("backends", Id);
   this->addServer(Id + "-" + std::to_string(++this->LastServer));
 }
@@ -77,6 +86,10 @@
   if (!this->CrashingBody.empty() && Message.Body == this->CrashingBody &&
       Item.Http)
     this->crash(Id);
+  if (this->ResetConnections && Item.Http) {
+    this->close(Item);
+    this->listen(Id, Item.Address);
+  }
   co_await sleepFor(this->WorkTime);
   HttpMessage Reply = InstanceTestBed::goodAnswer(Message);
   for (const HttpHeader &Field : Item.AnswerHeaders)
--- a/src/features/gateway/FleetTestBed.h
+++ b/src/features/gateway/FleetTestBed.h
@@ -53,6 +53,8 @@
 
   /// A server that gets a request with this body crashes.
   std::string CrashingBody;
+  /// Servers close the connections of requests without an answer, and go on.
+  bool ResetConnections = false;
   /// Times of the crashes.
   std::vector<Clock::time_point> Crashes;
   /// Time for which servers work on a request.
@@ -63,6 +65,9 @@
 
 private:
   void startInstance();
+  void listen(const std::string &Id, const std::string &Address);
+  /// Closes the listener and all connections of a server.
+  void close(Server &Item);
   /// Ends a server; another one with a new id registers at once.
   void crash(const std::string &Id);
   asio::awaitable<HttpMessage> serve(std::string Id, HttpMessage Message);
--- a/src/features/gateway/Gateway.cpp
+++ b/src/features/gateway/Gateway.cpp
@@ -7,7 +7,6 @@
 #include "gateway/RequestAdmission.h"
 #include "gateway/SteeringMetrics.h"
 #include "http1/MessageSerializer.h"
-#include "quarantine/Fingerprint.h"
 #include "steering/ObservedLoad.h"
 #include "steering/RetryAllowance.h"
 #include "tables/BootTime.h"
@@ -61,10 +60,14 @@
 
 namespace {
 
-std::string fingerprintOf(const GatewayRequest &Request) {
-  return requestFingerprint(Request.Workspace ? Request.Workspace->Name : "",
-                            Request.Message.Method, Request.Message.Target,
-                            Request.Message.Body);
+/// The request did not run. It may when the suspicion has ended.
+HttpMessage crashRefusal(const GatewayRequest &Request,
+                         Clock::duration Blocked) {
+  return refusalReply(503,
+                      "several backend servers crashed while they ran this "
+                      "request; fingerprint " +
+                          Request.Fingerprint,
+                      Blocked);
 }
 
 /// One answer may use at most half of the body budget, so that an endless
@@ -94,6 +97,10 @@
   if (auto *Refusal = std::get_if<HttpMessage>(&Admission))
     co_return this->refuse(Id, std::move(*Refusal));
   GatewayRequest &Request = std::get<GatewayRequest>(Admission);
+  if (const Clock::duration Blocked = this->blockedFor(Request);
+      Blocked > Clock::duration::zero())
+    co_return this->refuse(Id, crashRefusal(Request, Blocked), "",
+                           "crashes_servers");
   if (Request.Workspace) {
     const QuotaDecision Quota =
         co_await this->Quotas.acquire(*Request.Workspace);
@@ -104,6 +111,11 @@
   co_return co_await this->forward(std::move(Request));
 }
 
+Clock::duration Gateway::blockedFor(const GatewayRequest &Request) const {
+  return this->State.Suspects.blockedFor(Request.Fingerprint,
+                                         this->State.Members.storeTime());
+}
+
 Placement Gateway::placeRequest(const GatewayRequest &Request,
                                 const RequestProgress &Progress) {
   const Clock::time_point Now = Clock::now();
@@ -214,13 +226,16 @@
       Attempt.Exchange.Error == make_error_code(Errc::ConnectionLost))
     this->Crashes.recordLoss(
         Attempt.Decision.Server,
-        {Request.Id, fingerprintOf(Request), Now - Attempt.Time, Now},
+        {Request.Id, Request.Fingerprint, Now - Attempt.Time, Now},
         this->connectTimeout(Server));
   noteAttempt(Server, Failed || Attempt.Result == AttemptResult::NotRun, Now);
   if (Attempt.Result == AttemptResult::NotRun)
     return;
-  if (Answered)
+  if (Answered) {
     noteReachable(Server);
+    if (!Failed)
+      this->recordHarmless(Request);
+  }
   const ProcessingTimes::Estimate Expected =
       this->State.RequestProcessingTimes.estimateFor(*Request.Route,
                                                      Progress.Service);
@@ -255,6 +270,13 @@
                Now);
 }
 
+void Gateway::recordHarmless(const GatewayRequest &Request) {
+  this->State.Answers.add(Request.Fingerprint, Clock::now());
+  if (this->SuspectAnswered &&
+      this->State.Suspects.isSuspect(Request.Fingerprint))
+    this->SuspectAnswered(Request.Fingerprint);
+}
+
 RetryBudget &Gateway::retryBudgetFor(const std::string &Service) {
   RetryBudget &Budget = this->State.Retries[Service];
   const SteeringBounds &Bounds = this->State.Settings.Bounds;
@@ -267,6 +289,10 @@
                        const RequestProgress &Progress,
                        const ServerAttempt &Attempt) {
   const bool Repeatable = isRepeatable(Request.Route->Kind);
+  // Another server is not risked before the caller sends the request again.
+  if (Attempt.Result == AttemptResult::Failed &&
+      this->State.Suspects.isSuspect(Request.Fingerprint))
+    return false;
   if (Attempt.Result == AttemptResult::Unreachable)
     return Progress.Unreachable <= MaxUnreachableServers;
   const bool NotRunByServer = Attempt.Result == AttemptResult::NotRun ||
--- a/src/features/gateway/Gateway.h
+++ b/src/features/gateway/Gateway.h
@@ -46,6 +46,11 @@
   void onVersionStopped(std::function<void(const std::string &)> Handler) {
     this->VersionStopped = std::move(Handler);
   }
+  /// Sets a handler that is called with the fingerprint of a suspected request
+  /// that a server answered.
+  void onSuspectAnswered(std::function<void(const std::string &)> Handler) {
+    this->SuspectAnswered = std::move(Handler);
+  }
 
 private:
   struct ServerAttempt;
@@ -69,9 +74,11 @@
   void countOutcome(const GatewayRequest &Request, const char *Outcome);
   /// Logs and counts the refusal of a request that was not admitted.
   /// \p DecidedBy names the instance that found the workspace's rate exceeded;
-  /// empty for other reasons.
+  /// empty for other reasons. \p Outcome is the label of the metric; by
+  /// default it follows from the status.
   HttpMessage refuse(const std::string &Id, HttpMessage Refusal,
-                     const std::string &DecidedBy = "");
+                     const std::string &DecidedBy = "",
+                     const char *Outcome = nullptr);
   /// Logs a placement that relies on outdated rows of backend servers.
   void logOutdatedServers(const GatewayRequest &Request,
                           const Placement &Decision);
@@ -94,6 +101,10 @@
                                         const RequestProgress &Progress,
                                         const Placement &Decision, int Status,
                                         const char *Outcome) const;
+  /// Time for which the request is refused because it crashed servers.
+  Clock::duration blockedFor(const GatewayRequest &Request) const;
+  /// Records that a server answered the request, which ends a suspicion.
+  void recordHarmless(const GatewayRequest &Request);
   RetryBudget &retryBudgetFor(const std::string &Service);
   /// Value of the Retry-After header of a refusal, with jitter.
   Clock::duration retryAfterDelay();
@@ -107,6 +118,7 @@
   RateLimitedLog Log;
   std::function<asio::awaitable<void>()> ReadBackends;
   std::function<void(const std::string &)> VersionStopped;
+  std::function<void(const std::string &)> SuspectAnswered;
 };
 
 } // namespace rr
--- a/src/features/gateway/GatewayRequest.h
+++ b/src/features/gateway/GatewayRequest.h
@@ -25,6 +25,8 @@
   /// attempt.
   HttpMessage Message;
   std::string Id;
+  /// See requestFingerprint().
+  std::string Fingerprint;
   /// Hash of the requested object and the route, for cache affinity.
   std::optional<std::uint64_t> Object;
   int Priority = 0;
--- a/src/features/gateway/GatewayTelemetry.cpp
+++ b/src/features/gateway/GatewayTelemetry.cpp
@@ -65,9 +65,10 @@
 }
 
 HttpMessage Gateway::refuse(const std::string &Id, HttpMessage Refusal,
-                            const std::string &DecidedBy) {
-  this->Counters.add(Metric::SteeringRequests,
-                     {{"route", ""}, {"outcome", refusalName(Refusal)}});
+                            const std::string &DecidedBy, const char *Outcome) {
+  this->Counters.add(
+      Metric::SteeringRequests,
+      {{"route", ""}, {"outcome", Outcome ? Outcome : refusalName(Refusal)}});
   const auto &Config = this->State.Config;
   this->logRateLimited(
       Event::RequestNotAdmitted,
--- a/src/features/gateway/RequestAdmission.cpp
+++ b/src/features/gateway/RequestAdmission.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/GatewayReplies.h"
 #include "http1/MessageSerializer.h"
+#include "quarantine/Fingerprint.h"
 #include "steering/StableHash.h"
 #include "tables/BootTime.h"
 
@@ -127,6 +128,9 @@
     removeHeader(Message.Headers, Name);
   if (Request.Workspace)
     Message.Headers.push_back({Names.Workspace, Request.Workspace->Name});
+  Request.Fingerprint =
+      requestFingerprint(Request.Workspace ? Request.Workspace->Name : "",
+                         Message.Method, Message.Target, Message.Body);
   Request.Message = std::move(Message);
   return Request;
 }
--- a/src/features/gateway/SoakChecks.cpp
+++ b/src/features/gateway/SoakChecks.cpp
@@ -7,6 +7,11 @@
 namespace {
 
 constexpr Clock::duration MaxEvacuationDelay = std::chrono::seconds(5);
+/// After this many crashes, and the time for the instances to learn of them, a
+/// request may reach servers only a few times more.
+constexpr std::size_t MaxCrashes = 3;
+constexpr Clock::duration MaxCrashDelay = std::chrono::seconds(3);
+constexpr int MaxLateCrashes = 3;
 
 } // namespace
 
@@ -54,9 +59,21 @@
       this->reportViolation("the workspace's rate was exceeded: " +
                             std::to_string(this->Admitted.size()));
   }
+  if (Item.Crashing)
+    this->checkCrash(*Item.Entry);
   this->checkServerMayServe(Id, *Item.Entry);
 }
 
+void SoakFleet::checkCrash(const Node &Entry) {
+  const Clock::time_point Now = Clock::now();
+  if (this->Crashes.size() >= MaxCrashes &&
+      Now > this->Crashes[MaxCrashes - 1] + MaxCrashDelay &&
+      this->isUndisturbed(Entry) && ++this->LateCrashes > MaxLateCrashes)
+    this->reportViolation("a request went on to crash servers, sent by " +
+                          Entry.Name);
+  this->Crashes.push_back(Now);
+}
+
 void SoakFleet::checkServerMayServe(const std::string &Id, const Node &Entry) {
   if (!this->isUndisturbed(Entry))
     return;
@@ -93,7 +110,7 @@
   for (const auto &Entry : this->Requests) {
     const Request &Item = Entry.second;
     const bool Expected = Item.Key.empty() || this->Keys.count(Item.Key);
-    if (Item.SentAt < From || !Expected)
+    if (Item.SentAt < From || !Expected || Item.Crashing)
       continue;
     ++Total;
     // A refusal because of the rate is correct.
--- a/src/features/gateway/SoakFaults.cpp
+++ b/src/features/gateway/SoakFaults.cpp
@@ -1,5 +1,7 @@
 #include "gateway/SoakFleet.h"
 
+#include <asio/post.hpp>
+
 namespace rr {
 
 namespace {
@@ -78,6 +80,18 @@
   this->putServer(Chosen->first);
 }
 
+void SoakFleet::crashServer(const std::string &Id) {
+  Server &Item = this->Servers.at(Id);
+  if (Item.Crashed)
+    return;
+  this->logFault("server " + Id + " crashes");
+  Item.Crashed = true;
+  Item.EndsAt = Clock::now() + std::chrono::seconds(3);
+  // A handler of the server may be running.
+  asio::post(this->SharedContext,
+             [Ended = std::shared_ptr<HttpServer>(std::move(Item.Http))] {});
+}
+
 void SoakFleet::activateStandby() {
   this->logFault("the standby goes into service and loses the others");
   const Clock::time_point Now = Clock::now();
@@ -132,11 +146,7 @@
     const auto Chosen =
         std::next(this->Servers.begin(),
                   std::ptrdiff_t(this->pickIndex(this->Servers.size())));
-    this->logFault("server " + Chosen->first + " crashes");
-    Chosen->second.Crashed = true;
-    this->StoppedServers.push_back(std::move(Chosen->second.Http));
-    this->StoppedServers.pop_back();
-    Chosen->second.EndsAt = Now + std::chrono::seconds(3);
+    this->crashServer(Chosen->first);
     break;
   }
   case 7:
--- a/src/features/gateway/SoakFleet.cpp
+++ b/src/features/gateway/SoakFleet.cpp
@@ -24,6 +24,10 @@
 /// instances.
 constexpr Clock::duration RecoveryTime = std::chrono::seconds(4);
 constexpr Clock::duration CallerTimeout = std::chrono::milliseconds(1500);
+/// Servers that run a request with this path crash.
+const std::string CrashingPath = "/open/crash";
+constexpr Clock::duration CrashingRequestPeriod =
+    std::chrono::milliseconds(1500);
 /// Time after its wait at which an unanswered read of changes fails.
 constexpr Clock::duration ReadTimeout = std::chrono::milliseconds(900);
 /// Share of the requests that a standby gets, as health checks do.
@@ -214,6 +218,8 @@
   if (this->ServersFail && this->chance(0.03))
     co_return InstanceTestBed::notRunAnswer(Message);
   this->checkRun(Id, Message);
+  if (Message.Target == CrashingPath)
+    this->crashServer(Id);
   co_await sleepFor(this->randomDuration(std::chrono::milliseconds(20),
                                          std::chrono::milliseconds(120)));
   HttpMessage Reply = InstanceTestBed::goodAnswer(Message);
@@ -285,6 +291,11 @@
       Path = "/order/x";
     else if (Kind == 4)
       Path = "/open/x";
+    if (Kind == 4 && Clock::now() >= this->NextCrashingRequest) {
+      this->NextCrashingRequest = Clock::now() + CrashingRequestPeriod;
+      Path = CrashingPath;
+      Item.Crashing = true;
+    }
     const Node &Entry = this->pickEntry();
     Item.Entry = &Entry;
     if (!Entry.Instance) {
--- a/src/features/gateway/SoakFleet.h
+++ b/src/features/gateway/SoakFleet.h
@@ -88,6 +88,8 @@
     Clock::time_point SentAt;
     const Node *Entry = nullptr;
     bool Unsafe = false;
+    /// Crashes the server that runs it.
+    bool Crashing = false;
     std::string Key;
     int Runs = 0;
     int Status = 0;
@@ -112,6 +114,8 @@
   asio::awaitable<HttpMessage> serve(std::string Server, HttpMessage Message);
   void checkRun(const std::string &Server, const HttpMessage &Message);
   void checkServerMayServe(const std::string &Server, const Node &Entry);
+  /// Checks a run of the request that crashes servers.
+  void checkCrash(const Node &Entry);
 
   void startNode(Node &Item);
   void killNode(Node &Item, Clock::duration Down);
@@ -130,6 +134,8 @@
   void extendDisturbance(Clock::duration Time);
   void extendDisturbance(Node &Item, Clock::duration Time);
   void drainServer();
+  /// Ends a server with all its connections; another one replaces it later.
+  void crashServer(const std::string &Id);
   /// Sends callers to the standby and kills the other instances of its region
   /// once it is in service, while its reads of backend rows stall.
   void activateStandby();
@@ -158,6 +164,12 @@
   Clock::time_point UndisturbedFrom{};
   Clock::time_point ConfigureAt = Clock::time_point::max();
   Clock::time_point NextDrain{};
+  /// When the request that crashes servers is sent again.
+  Clock::time_point NextCrashingRequest{};
+  /// Times at which it crashed a server.
+  std::vector<Clock::time_point> Crashes;
+  /// Crashes of which the fleet should have prevented most.
+  int LateCrashes = 0;
   std::uint64_t ConfigVersion = 0;
   int LastId = 0;
   int LastServer = 0;
--- a/src/features/gateway/SteeringInstance.cpp
+++ b/src/features/gateway/SteeringInstance.cpp
@@ -52,6 +52,7 @@
       Codec(std::move(Platform)), State(Settings),
       Links(Io, {Settings.Name, Settings.Zone, Settings.PeerAddress}),
       Quotas(this->State, this->Links, this->Counters),
+      Suspects(Io, this->State, this->Store),
       RequestGateway(Io, this->State, this->Quotas, this->Counters),
       Forwarder(Io, this->State),
       CallerServer(Io,
@@ -112,8 +113,14 @@
           // applyPollPeriods() replaces these once it is known whether the
           // instance is a standby.
           {MemberRegistry::Table, MemberPollPeriod, StandbyMemberPollPeriod},
-          {[this](const TableRows &Rows) { this->Members.applySnapshot(Rows); },
-           [this](const TableRows &Rows) { this->Members.applyChanges(Rows); },
+          {[this](const TableRows &Rows) {
+             this->Members.applySnapshot(Rows);
+             this->Suspects.applySnapshot(Rows);
+           },
+           [this](const TableRows &Rows) {
+             this->Members.applyChanges(Rows);
+             this->Suspects.applyChanges(Rows);
+           },
            nullptr, [this] { this->onStoreReturned(); }}),
       AnnounceTimer(Io) {
   this->CallerServer.setPipelineFilter([this](const HttpMessage &Request) {
@@ -150,6 +157,14 @@
   this->RequestGateway.setBackendReader(
       [this] { return this->refreshBackends(); });
   this->RequestGateway.onVersionStopped(WakeUp);
+  this->RequestGateway.crashes().onCrash(
+      [this](const BackendState &Server, const std::vector<LostRequest> &Lost) {
+        this->Suspects.recordCrash(Server, Lost);
+      });
+  this->RequestGateway.onSuspectAnswered(
+      [this](const std::string &Fingerprint) {
+        this->Suspects.recordAnswer(Fingerprint);
+      });
   this->Members.onVersionStopped(WakeUp);
 }
 
@@ -331,7 +346,8 @@
     this->RequestGateway.links().closeExpired();
     const bool WasStarted = this->Links.isStarted();
     this->Links.start(this->State.PeerSecret);
-    if (!WasStarted && this->Links.isStarted())
+    if ((!WasStarted && this->Links.isStarted()) ||
+        this->Suspects.hasRecentLoss())
       this->applyPollPeriods(this->Moves.hasPendingMove());
     // A standby reads rarely and evaluates the records as of its last read.
     if (!this->State.Standby)
@@ -339,6 +355,8 @@
     this->updateStandby(Now);
     this->Quotas.maintain(Now);
     this->State.ColdServers.expire(Now);
+    this->Suspects.removeExpired(!this->State.Standby &&
+                                 this->Moves.isLeader());
     this->Backends.removeMissing(this->isStoreRecovering());
     if (this->State.Config)
       for (const auto &Item : this->State.Config->Services)
--- a/src/features/gateway/SteeringInstance.h
+++ b/src/features/gateway/SteeringInstance.h
@@ -12,6 +12,7 @@
 #include "gateway/QuotaExchange.h"
 #include "gateway/StandbyForwarder.h"
 #include "gateway/SteeringState.h"
+#include "gateway/SuspectRegistry.h"
 #include "http1/HttpServer.h"
 #include "links/PeerLinks.h"
 #include "steering/TableFreshness.h"
@@ -101,6 +102,7 @@
   SteeringState State;
   PeerLinks Links;
   QuotaExchange Quotas;
+  SuspectRegistry Suspects;
   Gateway RequestGateway;
   StandbyForwarder Forwarder;
   HttpServer CallerServer;
--- a/src/features/gateway/SteeringPollPeriods.h
+++ b/src/features/gateway/SteeringPollPeriods.h
@@ -22,7 +22,8 @@
 inline constexpr Clock::duration StandbyMemberPollPeriod =
     std::chrono::seconds(8);
 /// Period of writes of the own row and of reads of the member table while a
-/// version move is pending.
+/// version move is pending. Also of these reads after a request was lost in a
+/// crash.
 inline constexpr Clock::duration MovePollPeriod =
     std::chrono::milliseconds(500);
 /// Period of a standby for its own row, orders and rows of backend servers.
--- a/src/features/gateway/SteeringStandby.cpp
+++ b/src/features/gateway/SteeringStandby.cpp
@@ -115,8 +115,9 @@
     this->Members.setReadPeriod(StandbyMemberPollPeriod);
     return;
   }
-  Clock::duration Period = MovePending ? MovePollPeriod : MemberPollPeriod;
-  if (!MovePending && Clock::now() - this->StartedAt < StartupTime)
+  const bool ChangesPending = MovePending || this->Suspects.hasRecentLoss();
+  Clock::duration Period = ChangesPending ? MovePollPeriod : MemberPollPeriod;
+  if (!ChangesPending && Clock::now() - this->StartedAt < StartupTime)
     Period = StartupMemberPollPeriod;
   this->OrderTable.setIntervals(OrderLongPollTime, Clock::duration{0});
   this->BackendTable.setIntervals(BackendPollPeriod, BackendPollPeriod);
--- a/src/features/gateway/SteeringState.h
+++ b/src/features/gateway/SteeringState.h
@@ -4,6 +4,8 @@
 #include "base/Clock.h"
 #include "gateway/GatewaySettings.h"
 #include "http1/ByteBudget.h"
+#include "quarantine/RecentAnswers.h"
+#include "quarantine/SharedSuspects.h"
 #include "retry/RetryBudget.h"
 #include "steering/BackendPool.h"
 #include "steering/ColdServerLimiter.h"
@@ -66,6 +68,9 @@
   QuotaLimiter Quotas;
   ColdServerLimiter ColdServers;
   ReturningCallerDetector RetryingCallers;
+  /// Requests that were lost in crashes of servers, at any instance.
+  SharedSuspects Suspects;
+  RecentAnswers Answers;
   /// Availability zones that get no requests.
   std::set<std::string> EvacuatedZones;
   /// By service.
--- a/src/features/tables/FakeTables.cpp
+++ b/src/features/tables/FakeTables.cpp
@@ -83,7 +83,8 @@
   }
   ++this->Version;
   for (const TableWrite &Write : Writes)
-    this->Tables[Write.Table][Write.Key] = {Write.Value, this->Version, false};
+    this->Tables[Write.Table][Write.Key] = {Write.Value, this->Version,
+                                            Write.Remove};
   return this->Version;
 }
 
--- a/src/features/tables/TableWrite.h
+++ b/src/features/tables/TableWrite.h
@@ -7,7 +7,7 @@
 
 namespace rr {
 
-/// Write of one row, optionally conditional on its version.
+/// Write or removal of one row, optionally conditional on its version.
 struct TableWrite {
   std::string Table;
   std::string Key;
@@ -15,6 +15,8 @@
   /// Version that the row must have: 0 if it must not exist, empty for an
   /// unconditional write.
   std::optional<std::uint64_t> ExpectedVersion;
+  /// Removes the row; Value is not used.
+  bool Remove = false;
 };
 
 } // namespace rr
