--- a/src/features/gateway/Gateway.cpp
+++ b/src/features/gateway/Gateway.cpp
@@ -1,13 +1,11 @@
 #include "gateway/Gateway.h"
 
-#include "base/Errc.h"
 #include "gateway/GatewayAttempt.h"
 #include "gateway/GatewayReplies.h"
 #include "gateway/QuotaExchange.h"
 #include "gateway/RequestAdmission.h"
 #include "gateway/SteeringMetrics.h"
 #include "http1/MessageSerializer.h"
-#include "steering/ObservedLoad.h"
 #include "steering/RetryAllowance.h"
 #include "tables/BootTime.h"
 
@@ -21,17 +19,10 @@
 constexpr std::size_t MaxIdleLinksPerServer = 12;
 constexpr std::size_t MaxAnswerBytes = 64U << 20;
 constexpr std::size_t MaxHeaderBytes = 32U << 10;
-/// A connection attempt that takes longer than this and longer than several
-/// round trips is unlikely to succeed before the deadline.
-constexpr Clock::duration MinConnectTimeout = std::chrono::milliseconds(250);
-constexpr int ConnectRoundTrips = 4;
 /// Another server is tried after up to this many unreachable ones.
 constexpr int MaxUnreachableServers = 3;
 /// Reserved for returning the answer to the caller.
 constexpr Clock::duration AnswerMargin = std::chrono::milliseconds(5);
-/// An answer counts as slow for a new version if it takes longer than the
-/// expected time of a cache miss times this factor.
-constexpr double SlowVersionFactor = 2;
 /// Shifts between regions are not capped for this long after a server was lost,
 /// so that its requests can move at once.
 constexpr Clock::duration ServerLossGracePeriod = std::chrono::seconds(8);
@@ -40,26 +31,6 @@
 constexpr Clock::duration MinRetryAfter = std::chrono::milliseconds(150);
 constexpr Clock::duration RetryAfterJitter = std::chrono::milliseconds(500);
 
-/// Counts a request as in flight at a server during its lifetime.
-class InFlightScope {
-public:
-  explicit InFlightScope(BackendPtr Server) : Server(std::move(Server)) {
-    ++this->Server->InFlight;
-  }
-  ~InFlightScope() { --this->Server->InFlight; }
-  InFlightScope(const InFlightScope &) = delete;
-  InFlightScope &operator=(const InFlightScope &) = delete;
-
-private:
-  BackendPtr Server;
-};
-
-bool isServerError(const HttpMessage &Answer) { return Answer.Status >= 500; }
-
-} // namespace
-
-namespace {
-
 /// The request did not run. It may when the suspicion has ended.
 HttpMessage crashRefusal(const GatewayRequest &Request,
                          Clock::duration Blocked) {
@@ -150,133 +121,6 @@
       this->State.RequestProcessingTimes, this->State.Network, Permit, Now);
 }
 
-asio::awaitable<Gateway::ServerAttempt>
-Gateway::sendAttempt(const GatewayRequest &Request,
-                     const RequestProgress &Progress, Placement Decision) {
-  const GatewayHeaders &Names = this->State.Settings.Headers;
-  const BackendPtr Server = Decision.Server;
-  const InFlightScope Scope(Server);
-  const Clock::time_point Start = Clock::now();
-  const Clock::duration Left = Request.Deadline - Start;
-  HttpConnectionPool::Call Call;
-  Call.Address = Server->Record.Address;
-  Call.Request = Request.Message;
-  Call.Request.Headers.push_back({Names.Deadline, millisecondText(Left)});
-  Call.Request.Headers.push_back({Names.ExpectedServer, Server->Record.Id});
-  Call.ConnectDeadline = Start + this->connectTimeout(*Server);
-  Call.Deadline = Request.Deadline;
-  Call.Cancel = Request.Cancel;
-  Call.Accepts = [&Names, Id = Request.Id](const HttpMessage &Answer) {
-    const std::string *Echo = findHeader(Answer.Headers, Names.RequestId);
-    return !Echo || *Echo == Id;
-  };
-  this->State.Shifts.recordRequest(Server->Region, Start);
-  if (Request.Object)
-    recordObjectUse(*Server, *Request.Object, Start);
-  ServerAttempt Attempt;
-  Attempt.Decision = std::move(Decision);
-  Attempt.Exchange = co_await this->Links.call(std::move(Call));
-  Attempt.Time = Clock::now() - Start;
-  Attempt.Result = classifyAttempt(Attempt.Exchange, Names);
-  co_return Attempt;
-}
-
-Clock::duration Gateway::connectTimeout(const BackendState &Server) const {
-  const Clock::duration RoundTrip =
-      this->State.Network.roundTrip(Server.Record.Zone, Server.Region);
-  return std::max(MinConnectTimeout, RoundTrip * ConnectRoundTrips);
-}
-
-void Gateway::recordAttempt(const GatewayRequest &Request,
-                            const RequestProgress &Progress,
-                            const ServerAttempt &Attempt) {
-  const Clock::time_point Now = Clock::now();
-  BackendState &Server = *Attempt.Decision.Server;
-  const BackendRecord &Record = Server.Record;
-  if (Attempt.Exchange.ConnectTime)
-    this->State.Network.recordHandshake(Record.Zone,
-                                        *Attempt.Exchange.ConnectTime);
-  if (Attempt.Result == AttemptResult::Cancelled)
-    return;
-  if (Attempt.Result == AttemptResult::Unreachable ||
-      Attempt.Result == AttemptResult::WrongServer) {
-    this->State.LastServerLoss = Now;
-    noteUnreachable(Server, Now);
-    this->Links.closeIdle(Record.Address);
-    this->logRateLimited(Event::ServerEjected, "server_ejected", [&] {
-      return std::vector<EventField>{
-          {"server", Record.Id}, {"reason", attemptResultName(Attempt.Result)}};
-    });
-    return;
-  }
-  const auto Load =
-      reportedLoad(Attempt.Exchange.Response, this->State.Settings.Headers);
-  if (Load)
-    noteLoad(Server, *Load, Now);
-  else if (Attempt.Result == AttemptResult::NotRun)
-    assumeFull(Server, Now);
-  if (isDebugLoggingEnabled())
-    this->logAttempt(Request, Progress, Attempt);
-  const bool Answered = Attempt.Result == AttemptResult::Answered;
-  const bool Failed = (!Answered && Attempt.Result != AttemptResult::NotRun) ||
-                      (Answered && isServerError(Attempt.Exchange.Response));
-  if (Attempt.Result == AttemptResult::Failed)
-    this->State.LastServerLoss = Now;
-  if (Attempt.Result == AttemptResult::Failed &&
-      Attempt.Exchange.Error == make_error_code(Errc::ConnectionLost))
-    this->Crashes.recordLoss(
-        Attempt.Decision.Server,
-        {Request.Id, Request.Fingerprint, Now - Attempt.Time, Now},
-        this->connectTimeout(Server));
-  noteAttempt(Server, Failed || Attempt.Result == AttemptResult::NotRun, Now);
-  if (Attempt.Result == AttemptResult::NotRun)
-    return;
-  if (Answered) {
-    noteReachable(Server);
-    if (!Failed)
-      this->recordHarmless(Request);
-  }
-  const ProcessingTimes::Estimate Expected =
-      this->State.RequestProcessingTimes.estimateFor(*Request.Route,
-                                                     Progress.Service);
-  const bool Slow = double(Attempt.Time.count()) >
-                    SlowVersionFactor * double(Expected.Miss.count());
-  const auto Found = this->State.Versions.find(Progress.Service);
-  if (Found != this->State.Versions.end() &&
-      Found->second.record(Request.Route->Name, Record.Version, Failed, Slow,
-                           Now)) {
-    logEvent(Event::VersionStopped,
-             {{"service", Progress.Service}, {"version", Record.Version}});
-    this->Counters.add(Metric::SteeringVersionStops,
-                       {{"service", Progress.Service}});
-    if (this->VersionStopped)
-      this->VersionStopped(Progress.Service);
-  }
-  const Clock::duration Work =
-      Attempt.Time - this->State.Network.roundTrip(Record.Zone, Server.Region);
-  const bool Queued = Load && Load->Running + Load->Waiting >= Record.Slots;
-  if (Attempt.Result == AttemptResult::TimedOut) {
-    noteSlowness(Server,
-                 double(Attempt.Time.count()) / double(Expected.Miss.count()),
-                 Now);
-    return;
-  }
-  if (!Answered || Failed || Queued || Attempt.Decision.Cold)
-    return;
-  noteSlowness(Server,
-               this->State.RequestProcessingTimes.recordAnswer(
-                   *Request.Route, Progress.Service, Attempt.Decision.Affinity,
-                   Work, Attempt.Exchange.Response.Body.size()),
-               Now);
-}
-
-void Gateway::recordHarmless(const GatewayRequest &Request) {
-  this->State.Answers.add(Request.Fingerprint, Clock::now());
-  if (this->SuspectAnswered &&
-      this->State.Suspects.isSuspect(Request.Fingerprint))
-    this->SuspectAnswered(Request.Fingerprint);
-}
-
 RetryBudget &Gateway::retryBudgetFor(const std::string &Service) {
   RetryBudget &Budget = this->State.Retries[Service];
   const SteeringBounds &Bounds = this->State.Settings.Bounds;
--- a/src/features/gateway/GatewayAttempt.h
+++ b/src/features/gateway/GatewayAttempt.h
@@ -33,6 +33,9 @@
   std::optional<HttpMessage> ServerFailure;
 };
 
+/// Whether a server reported a failure of its own.
+bool isServerError(const HttpMessage &Answer);
+
 /// \p Time in whole milliseconds, for headers and log fields.
 std::string millisecondText(Clock::duration Time);
 
