Test that a response whose head ends at any byte is never taken as whole

It cannot happen here: MessageParser::finish() accepts an end of the stream only where the library expects it, after a whole head without a length.

--- a/src/libs/http1/tst_HttpConnectionPool.cpp
+++ b/src/libs/http1/tst_HttpConnectionPool.cpp
@@ -161,6 +161,24 @@
   }
 }
 
+// Guards against an answer without a body from a server that stopped in its
+// head.
+TEST_CASE(
+    "A response whose server closes at any byte before the end is an error",
+    "[links]") {
+  const std::string Whole = answer("1", "ab");
+  for (std::size_t End = 0; End < Whole.size(); ++End) {
+    CAPTURE(End);
+    PoolBed Bed;
+    Bed.Server.Answers = {Whole.substr(0, End)};
+    Bed.Server.CloseAfterAnswer = true;
+    const ExchangeResult Result = Bed.call();
+    CHECK(Result.Error);
+    CHECK(Result.MayHaveBeenSent);
+    CHECK(Result.Response.Status == 0);
+  }
+}
+
 TEST_CASE("After a refused connection the request is known to be unsent",
           "[links]") {
   PoolBed Bed;
--- a/src/libs/http1/tst_MessageParser.cpp
+++ b/src/libs/http1/tst_MessageParser.cpp
@@ -95,6 +95,24 @@
   }
 }
 
+// Guards against a short answer that looks whole because its server stopped
+// before it had told the length.
+TEST_CASE("A response whose head ends at any byte is never complete",
+          "[http1]") {
+  for (const std::string Head :
+       {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\nId: 1\r\n\r\n"})
+    for (std::size_t End = 0; End < Head.size(); ++End) {
+      CAPTURE(Head, End);
+      MessageParser Parser(MessageParser::Kind::Response, {});
+      Parser.feed(Head.substr(0, End));
+      Parser.finish();
+      CHECK_FALSE(Parser.isComplete());
+      CHECK(Parser.error() == ParseError::Malformed);
+    }
+}
+
 TEST_CASE("Hop-by-hop header fields are removed", "[http1]") {
   HttpHeaders Headers = {{"Connection", "close, X-Private"},
                          {"X-Private", "1"},
