Believe an answer only if it names the request

Reported by other operators: a faulty server wrote an earlier refusal once more on a kept connection. Clients were told "not run, try again" for requests that a server had run or was running (REFUSED), or such a request ran at a second server (TWICE).

It could happen here: an answer without X-Request-Id was accepted, and the id was asked for in successful answers only. A 503 with X-Not-Executed, or a 421, without an id led to a second server or to a 503 of ours; a failure without an id was passed on as the answer.

Change: an answer that does not name the request is a failed attempt, whatever its status: the request may have run. A request that came without an id cannot be checked.

--- a/src/features/gateway/AttemptResult.cpp
+++ b/src/features/gateway/AttemptResult.cpp
@@ -9,6 +9,7 @@
 namespace rr {
 
 AttemptResult classifyAttempt(const ExchangeResult &Result,
+                              const std::string &RequestId,
                               const GatewayHeaders &Names) {
   if (Result.Error == make_error_code(Errc::Cancelled))
     return AttemptResult::Cancelled;
@@ -19,13 +20,16 @@
   if (Result.Error)
     return AttemptResult::Failed;
   const HttpMessage &Answer = Result.Response;
+  // It may be an earlier answer that the server wrote once more.
+  const std::string *Echo = findHeader(Answer.Headers, Names.RequestId);
+  if (!RequestId.empty() && (!Echo || *Echo != RequestId))
+    return AttemptResult::Failed;
   if (Answer.Status == 421)
     return AttemptResult::WrongServer;
   if (findHeader(Answer.Headers, Names.NotRun))
     return AttemptResult::NotRun;
   const bool Success = Answer.Status >= 200 && Answer.Status < 300;
-  if (Success && (!findHeader(Answer.Headers, Names.RequestId) ||
-                  !findHeader(Answer.Headers, Names.ServerStamp) ||
+  if (Success && (!Echo || !findHeader(Answer.Headers, Names.ServerStamp) ||
                   findHeader(Answer.Headers, "Content-Encoding")))
     return AttemptResult::Failed;
   return AttemptResult::Answered;
--- a/src/features/gateway/AttemptResult.h
+++ b/src/features/gateway/AttemptResult.h
@@ -28,9 +28,11 @@
   Cancelled,
 };
 
-/// Classifies \p Result. A successful answer without the request id or the
-/// server stamp, or with a content encoding, counts as Failed.
+/// Classifies \p Result. An answer that does not name the request, if
+/// \p RequestId is not empty, and a successful one without the server stamp or
+/// with a content encoding, count as Failed.
 AttemptResult classifyAttempt(const ExchangeResult &Result,
+                              const std::string &RequestId,
                               const GatewayHeaders &Names);
 
 /// Name of \p Result in log fields and metric labels.
--- a/src/features/gateway/GatewayAttempt.cpp
+++ b/src/features/gateway/GatewayAttempt.cpp
@@ -65,7 +65,7 @@
   Attempt.Decision = std::move(Decision);
   Attempt.Exchange = co_await this->Links.call(std::move(Call));
   Attempt.Time = Clock::now() - Start;
-  Attempt.Result = classifyAttempt(Attempt.Exchange, Names);
+  Attempt.Result = classifyAttempt(Attempt.Exchange, Request.Id, Names);
   co_return Attempt;
 }
 
--- a/src/features/gateway/tst_SteeringInstance.cpp
+++ b/src/features/gateway/tst_SteeringInstance.cpp
@@ -133,6 +133,41 @@
   CHECK(B.arrivals() == 1);
 }
 
+// Guards against an earlier refusal, written once more on a kept connection,
+// that is taken for the answer to a request that runs.
+TEST_CASE("A refusal that does not name the request is not believed",
+          "[instance]") {
+  const int Status = GENERATE(503, 421);
+  Bed B;
+  B.start();
+  for (auto &Item : B.Backends)
+    Item.second.Answers.push_back([Status](const HttpMessage &Request) {
+      HttpMessage Reply = InstanceTestBed::notRunAnswer(Request);
+      Reply.Status = Status;
+      std::erase_if(Reply.Headers,
+                    [](const HttpHeader &Field) { return Field.Name == "Id"; });
+      return Reply;
+    });
+  CHECK(hasStatus(B.request("POST", "/order/x"), 502));
+  CHECK(B.arrivals() == 1);
+}
+
+// Guards against the answer to another request that is passed on as a failure.
+TEST_CASE("A failure that does not name the request is not passed on",
+          "[instance]") {
+  Bed B;
+  B.start();
+  for (auto &Item : B.Backends)
+    Item.second.Answers.push_back([](const HttpMessage &) {
+      HttpMessage Reply;
+      Reply.Status = 500;
+      Reply.Headers.push_back({"Stamp", "s"});
+      Reply.Body = "of another request";
+      return Reply;
+    });
+  CHECK(hasStatus(B.request("POST", "/order/x"), 502));
+}
+
 TEST_CASE("An unsafe request that its server has not run goes to another one",
           "[instance]") {
   Bed B;
