Answer the requests that still run at the end of a stop

Reported by other operators: in a planned stop, in calm, requests that came late in the grace were taken and passed on; at its end they were cut with no answer, among them requests that may not be repeated (LOST).

It could happen here: requests are taken for 0.46 of the stop time, with the time that their caller and route allow, and what still ran at 0.95 lost its connection when the process ended.

Change: a request that is taken during a stop has a deadline of 0.92 of the stop time at the latest, and its server is told so. What still runs then, also from before the stop, gets an answer: 504 if it may have run, 503 if it was not sent. A closed connection would say neither.

Result: tst_SteeringInstance "A request that comes late in a stop is answered before its end" got no answer, and its server 2000 ms where 1460 were left; it now gets 504, and the server the time that is left.

--- a/src/features/gateway/Gateway.cpp
+++ b/src/features/gateway/Gateway.cpp
@@ -33,6 +33,22 @@
 constexpr Clock::duration MinRetryAfter = std::chrono::milliseconds(150);
 constexpr Clock::duration RetryAfterJitter = std::chrono::milliseconds(500);
 
+/// Lists a request as running during its lifetime.
+class RunningScope {
+public:
+  RunningScope(std::set<CancellationPtr> &List, CancellationPtr Request)
+      : Running(List), Item(std::move(Request)) {
+    this->Running.insert(this->Item);
+  }
+  ~RunningScope() { this->Running.erase(this->Item); }
+  RunningScope(const RunningScope &) = delete;
+  RunningScope &operator=(const RunningScope &) = delete;
+
+private:
+  std::set<CancellationPtr> &Running;
+  CancellationPtr Item;
+};
+
 /// The request did not run. It may when the suspicion has ended.
 HttpMessage crashRefusal(const GatewayRequest &Request,
                          Clock::duration Blocked) {
@@ -81,9 +97,15 @@
       co_return this->refuse(Id, rateRefusal(Quota.Wait, Jitter),
                              Quota.DecidedBy);
   }
+  const RunningScope Scope(this->Running, Request.Cancel);
   co_return co_await this->forward(std::move(Request));
 }
 
+void Gateway::endRequests() {
+  for (const CancellationPtr &Item : std::exchange(this->Running, {}))
+    Item->cancel();
+}
+
 Clock::duration Gateway::blockedFor(const GatewayRequest &Request) const {
   return this->State.Suspects.blockedFor(Request.Fingerprint,
                                          this->State.Members.storeTime());
@@ -202,10 +224,8 @@
                           Attempt.Result == AttemptResult::Failed ||
                           Attempt.Result == AttemptResult::TimedOut;
     Progress.TimedOut = Attempt.Result == AttemptResult::TimedOut;
-    if (Attempt.Result == AttemptResult::Cancelled) {
-      this->countOutcome(Request, "caller_left");
-      co_return plainReply(499, "the caller closed the connection");
-    }
+    if (Attempt.Result == AttemptResult::Cancelled)
+      co_return this->endRequest(Request, Progress, Attempt);
     const bool Good = Answered && !isServerError(Attempt.Exchange.Response);
     if (Answered) {
       removeHopByHopHeaders(Attempt.Exchange.Response.Headers);
@@ -232,6 +252,20 @@
   }
 }
 
+HttpMessage Gateway::endRequest(const GatewayRequest &Request,
+                                const RequestProgress &Progress,
+                                const ServerAttempt &Attempt) {
+  if (Clock::now() < this->State.StopsAt) {
+    this->countOutcome(Request, "caller_left");
+    return plainReply(499, "the caller closed the connection");
+  }
+  this->countOutcome(Request, "ended_by_stop");
+  if (!Progress.MayHaveRun && !Attempt.Exchange.MayHaveBeenSent)
+    return refusalReply(503, "this instance stops", this->retryAfterDelay());
+  return plainReply(504, "this instance stops before the backend server "
+                         "answered");
+}
+
 Clock::duration Gateway::retryAfterDelay() {
   const double Jitter = std::uniform_real_distribution<>()(this->Random);
   return MinRetryAfter +
--- a/src/features/gateway/Gateway.h
+++ b/src/features/gateway/Gateway.h
@@ -17,6 +17,7 @@
 #include <asio/io_context.hpp>
 
 #include <functional>
+#include <set>
 
 namespace rr {
 
@@ -33,6 +34,10 @@
   asio::awaitable<HttpMessage> handle(HttpMessage Message,
                                       CancellationPtr Cancel);
 
+  /// Ends the requests that are still running and lets them be answered. Called
+  /// at the end of a stop.
+  void endRequests();
+
   HttpConnectionPool &links() { return this->Links; }
   CrashDetector &crashes() { return this->Crashes; }
   /// Sets the function that reads the rows of backend servers if they are
@@ -94,6 +99,11 @@
   HttpMessage failRequest(const GatewayRequest &Request,
                           const RequestProgress &Progress,
                           const Placement &Decision);
+  /// Builds the reply to a request that was cancelled, by its caller or because
+  /// the instance stops.
+  HttpMessage endRequest(const GatewayRequest &Request,
+                         const RequestProgress &Progress,
+                         const ServerAttempt &Attempt);
   void logOutcome(const GatewayRequest &Request,
                   const RequestProgress &Progress, const Placement &Decision,
                   int Status, const char *Outcome);
@@ -118,6 +128,8 @@
   CrashDetector Crashes;
   RandomEngine Random;
   RateLimitedLog Log;
+  /// Cancel running requests.
+  std::set<CancellationPtr> Running;
   std::function<asio::awaitable<void>()> ReadBackends;
   std::function<void(const std::string &)> VersionStopped;
   std::function<void(const std::string &)> SuspectAnswered;
--- a/src/features/gateway/RequestAdmission.cpp
+++ b/src/features/gateway/RequestAdmission.cpp
@@ -116,7 +116,8 @@
         State.RetryingCallers.isReturning(Route.Name, *Deadline);
   Request.Arrived = Now;
   Request.Deadline =
-      Now + std::min(Route.Timeout, Deadline.value_or(Route.Timeout));
+      std::min(Now + std::min(Route.Timeout, Deadline.value_or(Route.Timeout)),
+               State.StopsAt);
   if (const std::string *Id = findHeader(Message.Headers, Names.RequestId))
     Request.Id = *Id;
   if (const std::string *Object = findHeader(Message.Headers, Names.Object))
--- a/src/features/gateway/SteeringInstance.cpp
+++ b/src/features/gateway/SteeringInstance.cpp
@@ -30,17 +30,6 @@
 constexpr Clock::duration StandbyReadyTime = std::chrono::seconds(20);
 constexpr Clock::duration StoreRetryDelay = std::chrono::milliseconds(300);
 constexpr Clock::duration MaintenancePeriod = std::chrono::milliseconds(250);
-/// Fractions of the stop time. A stopping instance accepts requests until
-/// callers have a new list of instances, but for less than half of the stop
-/// time, so that long requests can still finish.
-constexpr double AcceptFraction = 0.46;
-constexpr double DrainFraction = 0.95;
-constexpr Clock::duration DrainPollPeriod = std::chrono::milliseconds(50);
-
-Clock::duration fractionOf(Clock::duration Total, double Fraction) {
-  return Clock::duration(Clock::rep(double(Total.count()) * Fraction));
-}
-
 } // namespace
 
 SteeringInstance::SteeringInstance(asio::io_context &Io,
@@ -205,8 +194,9 @@
   // they write or read anything.
   const GatewaySettings &Settings = this->State.Settings;
   if (!this->State.Members.hasOtherInZone(Settings.Zone)) {
-    co_await sleepFor(fractionOf(FleetStartTime,
-                                 1 - std::clamp(Settings.CpuShare, 0.0, 1.0)));
+    const double Share = std::clamp(Settings.CpuShare, 0.0, 1.0);
+    co_await sleepFor(std::chrono::duration_cast<Clock::duration>(
+        FleetStartTime * (1 - Share)));
     co_await this->MemberTable.refresh();
   }
   this->updateStandby(Clock::now());
@@ -376,35 +366,4 @@
   }
 }
 
-void SteeringInstance::beginStop(std::function<void()> OnStopped) {
-  if (this->State.Leaving)
-    return;
-  this->State.Leaving = true;
-  logEvent(Event::SteeringLeaving,
-           {{"running", std::to_string(this->CallerServer.activeRequests())}});
-  this->AnnounceTimer.cancel();
-  asio::co_spawn(this->Context, this->drainAndStop(std::move(OnStopped)),
-                 asio::detached);
-}
-
-asio::awaitable<void>
-SteeringInstance::drainAndStop(std::function<void()> OnStopped) {
-  const Clock::duration Total = this->State.Settings.Bounds.StopTime;
-  const Clock::time_point Start = Clock::now();
-  this->CallerServer.closeAfterResponses();
-  co_await sleepFor(fractionOf(Total, AcceptFraction));
-  this->CallerServer.stopAccepting();
-  this->CallerServer.closeIdle();
-  while (Clock::now() - Start < fractionOf(Total, DrainFraction) &&
-         this->CallerServer.activeRequests() > 0)
-    co_await sleepFor(DrainPollPeriod);
-  if (this->CallerServer.activeRequests() > 0)
-    logEvent(Event::StopCutRequests,
-             {{"count", std::to_string(this->CallerServer.activeRequests())}});
-  logEvent(Event::SteeringStopped);
-  this->Stopped = true;
-  this->Links.stop();
-  OnStopped();
-}
-
 } // namespace rr
--- a/src/features/gateway/SteeringState.h
+++ b/src/features/gateway/SteeringState.h
@@ -94,6 +94,8 @@
   std::string PeerSecret;
   /// A stop was requested.
   bool Leaving = false;
+  /// Time by which all requests must be answered because of the stop.
+  Clock::time_point StopsAt = Clock::time_point::max();
 };
 
 } // namespace rr
