Keep the list of running requests until the last of them is destroyed

Cause: a request that is destroyed with its event loop takes itself off the list of running requests, which was a member of the gateway and already gone. Only tests destroy an instance in this order; the program ends its process.

Change: the list is shared by the gateway and its requests.

--- a/src/features/gateway/Gateway.cpp
+++ b/src/features/gateway/Gateway.cpp
@@ -33,19 +33,22 @@
 constexpr Clock::duration MinRetryAfter = std::chrono::milliseconds(150);
 constexpr Clock::duration RetryAfterJitter = std::chrono::milliseconds(500);
 
-/// Lists a request as running during its lifetime.
+/// Lists a request as running during its lifetime. The list is shared, since a
+/// request that never ends is destroyed after the gateway.
 class RunningScope {
 public:
-  RunningScope(std::set<CancellationPtr> &List, CancellationPtr Request)
-      : Running(List), Item(std::move(Request)) {
-    this->Running.insert(this->Item);
+  using List = std::shared_ptr<std::set<CancellationPtr>>;
+
+  RunningScope(List Requests, CancellationPtr Request)
+      : Running(std::move(Requests)), Item(std::move(Request)) {
+    this->Running->insert(this->Item);
   }
-  ~RunningScope() { this->Running.erase(this->Item); }
+  ~RunningScope() { this->Running->erase(this->Item); }
   RunningScope(const RunningScope &) = delete;
   RunningScope &operator=(const RunningScope &) = delete;
 
 private:
-  std::set<CancellationPtr> &Running;
+  List Running;
   CancellationPtr Item;
 };
 
@@ -102,7 +105,7 @@
 }
 
 void Gateway::endRequests() {
-  for (const CancellationPtr &Item : std::exchange(this->Running, {}))
+  for (const CancellationPtr &Item : std::exchange(*this->Running, {}))
     Item->cancel();
 }
 
--- a/src/features/gateway/Gateway.h
+++ b/src/features/gateway/Gateway.h
@@ -17,6 +17,7 @@
 #include <asio/io_context.hpp>
 
 #include <functional>
+#include <memory>
 #include <set>
 
 namespace rr {
@@ -129,7 +130,8 @@
   RandomEngine Random;
   RateLimitedLog Log;
   /// Cancel running requests.
-  std::set<CancellationPtr> Running;
+  std::shared_ptr<std::set<CancellationPtr>> Running =
+      std::make_shared<std::set<CancellationPtr>>();
   std::function<asio::awaitable<void>()> ReadBackends;
   std::function<void(const std::string &)> VersionStopped;
   std::function<void(const std::string &)> SuspectAnswered;
