Play servers that name a limit in the soak

A server names a limit of 2 requests a second for 12 s, one every 5 s, while instances are killed, frozen, cut and stopped and servers drain and crash. From 4 s after the first naming, the requests of undisturbed instances may be 1.5 times the limit and 5 in any 4 s.

--- a/src/features/gateway/SoakChecks.cpp
+++ b/src/features/gateway/SoakChecks.cpp
@@ -7,6 +7,13 @@
 namespace {
 
 constexpr Clock::duration MaxEvacuationDelay = std::chrono::seconds(5);
+/// Window in which the requests to a limited server are counted, and how many
+/// are accepted.
+constexpr Clock::duration LimitWindow = std::chrono::seconds(4);
+constexpr double LimitFactor = 1.5;
+constexpr double LimitExtra = 5;
+/// Time for the instances to learn of a limit.
+constexpr Clock::duration MaxLimitDelay = std::chrono::seconds(4);
 /// After this many crashes, and the time for the instances to learn of them, a
 /// request may reach servers only a few times more.
 constexpr std::size_t MaxCrashes = 3;
@@ -61,9 +68,27 @@
   }
   if (Item.Crashing)
     this->checkCrash(*Item.Entry);
+  this->checkLimit(Id, *Item.Entry);
   this->checkServerMayServe(Id, *Item.Entry);
 }
 
+void SoakFleet::checkLimit(const std::string &Id, const Node &Entry) {
+  Server &Item = this->Servers.at(Id);
+  const Clock::time_point Now = Clock::now();
+  if (Now >= Item.LimitedUntil || Now < Item.LimitedFrom + MaxLimitDelay ||
+      !this->isUndisturbed(Entry))
+    return;
+  Item.LimitedArrivals.push_back(Now);
+  while (Item.LimitedArrivals.front() + LimitWindow <= Now)
+    Item.LimitedArrivals.pop_front();
+  if (double(Item.LimitedArrivals.size()) >
+      std::chrono::duration<double>(LimitWindow).count() * ServerLimit *
+              LimitFactor +
+          LimitExtra)
+    this->reportViolation("server " + Id + " got more than its limit, by " +
+                          Entry.Name);
+}
+
 void SoakFleet::checkCrash(const Node &Entry) {
   const Clock::time_point Now = Clock::now();
   if (this->Crashes.size() >= MaxCrashes &&
--- a/src/features/gateway/SoakFaults.cpp
+++ b/src/features/gateway/SoakFaults.cpp
@@ -9,6 +9,8 @@
 /// Time between two servers that leave in turn, so that a view of any age lacks
 /// some.
 constexpr Clock::duration DrainPeriod = std::chrono::seconds(3);
+/// Time between two servers that name a limit.
+constexpr Clock::duration LimitPeriod = std::chrono::seconds(5);
 
 } // namespace
 
@@ -42,6 +44,10 @@
     this->NextDrain = Now + DrainPeriod;
     this->drainServer();
   }
+  if (Now >= this->NextLimit) {
+    this->NextLimit = Now + LimitPeriod;
+    this->limitServer();
+  }
   if (Now >= this->ConfigureAt) {
     this->ConfigureAt = Clock::time_point::max();
     this->configure();
@@ -80,6 +86,17 @@
   this->putServer(Chosen->first);
 }
 
+void SoakFleet::limitServer() {
+  const auto Chosen =
+      std::next(this->Servers.begin(),
+                std::ptrdiff_t(this->pickIndex(this->Servers.size())));
+  if (Clock::now() < Chosen->second.LimitedUntil)
+    return;
+  this->logFault("server " + Chosen->first + " names a limit");
+  Chosen->second.LimitedFrom = Clock::now();
+  Chosen->second.LimitedUntil = Clock::now() + std::chrono::seconds(12);
+}
+
 void SoakFleet::crashServer(const std::string &Id) {
   Server &Item = this->Servers.at(Id);
   if (Item.Crashed)
--- a/src/features/gateway/SoakFleet.cpp
+++ b/src/features/gateway/SoakFleet.cpp
@@ -223,6 +223,9 @@
   co_await sleepFor(this->randomDuration(std::chrono::milliseconds(20),
                                          std::chrono::milliseconds(120)));
   HttpMessage Reply = InstanceTestBed::goodAnswer(Message);
+  const auto Found = this->Servers.find(Id);
+  if (Found != this->Servers.end() && Clock::now() < Found->second.LimitedUntil)
+    Reply.Headers.push_back({"Limit", std::to_string(ServerLimit)});
   if (this->ServersFail && this->chance(0.02))
     Reply.Status = 500;
   // An answer to another request, which the instance must not return.
--- a/src/features/gateway/SoakFleet.h
+++ b/src/features/gateway/SoakFleet.h
@@ -54,6 +54,8 @@
   static constexpr double Burst = 60;
   static constexpr Clock::duration QuotaWindow = std::chrono::seconds(5);
   static constexpr Clock::duration RevocationTime = std::chrono::seconds(5);
+  /// That servers in need name, in requests per second.
+  static constexpr double ServerLimit = 2;
   static constexpr Clock::duration MaxDrainDelay =
       std::chrono::milliseconds(2500);
   struct Node {
@@ -83,6 +85,11 @@
     Clock::time_point DrainingSince{};
     Clock::time_point EndsAt{};
     bool Crashed = false;
+    /// The server names a limit in its answers during this time.
+    Clock::time_point LimitedFrom{};
+    Clock::time_point LimitedUntil{};
+    /// Times of requests from undisturbed instances while the limit is checked.
+    std::deque<Clock::time_point> LimitedArrivals;
   };
   struct Request {
     Clock::time_point SentAt;
@@ -114,6 +121,8 @@
   asio::awaitable<HttpMessage> serve(std::string Server, HttpMessage Message);
   void checkRun(const std::string &Server, const HttpMessage &Message);
   void checkServerMayServe(const std::string &Server, const Node &Entry);
+  /// Checks a request to a server that names a limit.
+  void checkLimit(const std::string &Server, const Node &Entry);
   /// Checks a run of the request that crashes servers.
   void checkCrash(const Node &Entry);
 
@@ -134,6 +143,8 @@
   void extendDisturbance(Clock::duration Time);
   void extendDisturbance(Node &Item, Clock::duration Time);
   void drainServer();
+  /// Lets a server name a limit for some seconds.
+  void limitServer();
   /// Ends a server with all its connections; another one replaces it later.
   void crashServer(const std::string &Id);
   /// Sends callers to the standby and kills the other instances of its region
@@ -164,6 +175,7 @@
   Clock::time_point UndisturbedFrom{};
   Clock::time_point ConfigureAt = Clock::time_point::max();
   Clock::time_point NextDrain{};
+  Clock::time_point NextLimit{};
   /// When the request that crashes servers is sent again.
   Clock::time_point NextCrashingRequest{};
   /// Times at which it crashed a server.
