Count requests to a limited server from instances that it has told

The server had named its limit while the fleet started, 4 s before the first request, so no instance had been told when the check began. The rule is on instances that passed on such an answer half a second before or earlier; the check now counts their requests only. The bound stays.

--- a/src/features/gateway/SoakChecks.cpp
+++ b/src/features/gateway/SoakChecks.cpp
@@ -12,7 +12,9 @@
 constexpr Clock::duration LimitWindow = std::chrono::seconds(4);
 constexpr double LimitFactor = 1.5;
 constexpr double LimitExtra = 5;
-/// Time for the instances to learn of a limit.
+/// Time after an instance was told of a limit until it must keep it.
+constexpr Clock::duration ReactionTime = std::chrono::milliseconds(500);
+/// Time after a limit is named until it is checked.
 constexpr Clock::duration MaxLimitDelay = std::chrono::seconds(4);
 /// After this many crashes, and the time for the instances to learn of them, a
 /// request may reach servers only a few times more.
@@ -75,7 +77,9 @@
 void SoakFleet::checkLimit(const std::string &Id, const Node &Entry) {
   Server &Item = this->Servers.at(Id);
   const Clock::time_point Now = Clock::now();
+  const auto Told = Item.ToldAt.find(&Entry);
   if (Now >= Item.LimitedUntil || Now < Item.LimitedFrom + MaxLimitDelay ||
+      Told == Item.ToldAt.end() || Now < Told->second + ReactionTime ||
       !this->isUndisturbed(Entry))
     return;
   Item.LimitedArrivals.push_back(Now);
--- a/src/features/gateway/SoakFaults.cpp
+++ b/src/features/gateway/SoakFaults.cpp
@@ -93,6 +93,7 @@
   if (Clock::now() < Chosen->second.LimitedUntil)
     return;
   this->logFault("server " + Chosen->first + " names a limit");
+  Chosen->second.ToldAt.clear();
   Chosen->second.LimitedFrom = Clock::now();
   Chosen->second.LimitedUntil = Clock::now() + std::chrono::seconds(12);
 }
--- a/src/features/gateway/SoakFleet.cpp
+++ b/src/features/gateway/SoakFleet.cpp
@@ -224,8 +224,13 @@
                                          std::chrono::milliseconds(120)));
   HttpMessage Reply = InstanceTestBed::goodAnswer(Message);
   const auto Found = this->Servers.find(Id);
-  if (Found != this->Servers.end() && Clock::now() < Found->second.LimitedUntil)
+  if (Found != this->Servers.end() &&
+      Clock::now() < Found->second.LimitedUntil) {
+    const std::string *Request = findHeader(Message.Headers, "Id");
+    Found->second.ToldAt.try_emplace(this->Requests.at(*Request).Entry,
+                                     Clock::now());
     Reply.Headers.push_back({"Limit", std::to_string(ServerLimit)});
+  }
   if (this->ServersFail && this->chance(0.02))
     Reply.Status = 500;
   // An answer to another request, which the instance must not return.
--- a/src/features/gateway/SoakFleet.h
+++ b/src/features/gateway/SoakFleet.h
@@ -88,7 +88,9 @@
     /// The server names a limit in its answers during this time.
     Clock::time_point LimitedFrom{};
     Clock::time_point LimitedUntil{};
-    /// Times of requests from undisturbed instances while the limit is checked.
+    /// When each instance passed on an answer with the limit first.
+    std::map<const Node *, Clock::time_point> ToldAt;
+    /// Times of requests from instances that must keep the limit.
     std::deque<Clock::time_point> LimitedArrivals;
   };
   struct Request {
