Give the objects of a server that named a limit another home

Cause, shown by a test: the limited server stayed the home of its objects. A request that got no token for it could go only to servers that are nearly idle, since others would lose objects of their own from their caches; under load it was refused although they had room.

Change: a server that named a limit is no home, unless all of the service have named one. Limits that have lapsed are forgotten.

Result: tst_PlacementRule "The objects of servers that named a limit get other homes under load" was refused before and is placed now.

--- a/src/features/gateway/MemberRegistry.cpp
+++ b/src/features/gateway/MemberRegistry.cpp
@@ -182,6 +182,7 @@
   Record.StoreContactSince = this->State.Members.storeContactSince();
   Record.Leaving = this->State.Leaving;
   Record.Demand = this->State.Quotas.demand(Now);
+  forgetLapsedLimits(this->State.Backends, this->State.Members.storeTime());
   Record.ServerLimits =
       limitReports(this->State.Backends, this->State.Members.storeTime());
   for (const auto &[Service, Steering] : this->State.Versions) {
--- a/src/features/steering/ObjectHomes.cpp
+++ b/src/features/steering/ObjectHomes.cpp
@@ -43,6 +43,10 @@
          (!Query.EvacuatedZones || !Query.EvacuatedZones->count(Record.Zone));
 }
 
+bool isLimited(const BackendState &Server) {
+  return Server.Limit.RequestsPerSecond.has_value();
+}
+
 } // namespace
 
 ObjectHomes::ObjectHomes(const PlacementQuery &Query, const std::string &Region,
@@ -50,9 +54,15 @@
   if (!Query.Object)
     return;
   std::map<std::string, RegionRank> Ranks;
+  // A server that named a limit takes too few requests to keep objects in its
+  // cache, unless all have named one.
+  const bool SkipLimited = std::any_of(
+      Servers.begin(), Servers.end(), [&](const BackendPtr &Server) {
+        return !isLimited(*Server) && isHomeCandidate(Query, *Server);
+      });
   int Total = 0;
   for (const BackendPtr &Server : Servers) {
-    if (!isHomeCandidate(Query, *Server))
+    if (!isHomeCandidate(Query, *Server) || (SkipLimited && isLimited(*Server)))
       continue;
     ++Total;
     Ranks[Server->Region].add(Server.get(),
--- a/src/features/steering/ServerLimits.cpp
+++ b/src/features/steering/ServerLimits.cpp
@@ -43,6 +43,12 @@
   return Server.Limit.RequestsPerSecond;
 }
 
+void forgetLapsedLimits(const BackendPool &Servers, Clock::duration StoreTime) {
+  for (const BackendPtr &Server : Servers.all())
+    if (!currentLimit(*Server, StoreTime))
+      Server->Limit.RequestsPerSecond.reset();
+}
+
 std::map<std::string, ServerLimitReport>
 limitReports(const BackendPool &Servers, Clock::duration StoreTime) {
   std::map<std::string, ServerLimitReport> Reports;
--- a/src/features/steering/ServerLimits.h
+++ b/src/features/steering/ServerLimits.h
@@ -29,6 +29,9 @@
 std::optional<double> currentLimit(const BackendState &Server,
                                    Clock::duration StoreTime);
 
+/// Forgets limits that have lapsed.
+void forgetLapsedLimits(const BackendPool &Servers, Clock::duration StoreTime);
+
 /// What this instance heard recently, by server id.
 std::map<std::string, ServerLimitReport>
 limitReports(const BackendPool &Servers, Clock::duration StoreTime);
--- a/src/features/steering/tst_PlacementRule.cpp
+++ b/src/features/steering/tst_PlacementRule.cpp
@@ -86,6 +86,31 @@
   CHECK(S.choose().Outcome == Placement::Result::Full);
 }
 
+// Guards against requests that are refused although servers have room, because
+// the homes of their objects named a limit.
+TEST_CASE(
+    "The objects of servers that named a limit get other homes under load",
+    "[placement]") {
+  Site S;
+  const auto &Servers = S.Pool.serversForService("stock");
+  for (const BackendPtr &Server : Servers)
+    fill(*Server, 5);
+  const ObjectHomes Homes(S.Query, "s", Servers);
+  for (const BackendPtr &Server : Servers)
+    if (Homes.affinityOf(*Server, false) < CacheAffinity::Other)
+      Server->Limit.RequestsPerSecond = 1;
+  const Placement Other = S.choose();
+  REQUIRE(Other.Outcome == Placement::Result::Found);
+  CHECK(Homes.affinityOf(*Other.Server, false) == CacheAffinity::Other);
+  // If all servers named one, the homes stay.
+  for (const BackendPtr &Server : Servers)
+    Server->Limit.RequestsPerSecond = 1;
+  const Placement Permitted =
+      S.choose([](const BackendState &) { return true; });
+  REQUIRE(Permitted.Outcome == Placement::Result::Found);
+  CHECK(Homes.affinityOf(*Permitted.Server, false) < CacheAffinity::Other);
+}
+
 TEST_CASE("A request with little time left is offered to a free server, also "
           "when the usual work is longer",
           "[placement]") {
--- a/src/features/steering/tst_ServerLimits.cpp
+++ b/src/features/steering/tst_ServerLimits.cpp
@@ -143,4 +143,8 @@
   REQUIRE(Reports.size() == 1);
   CHECK(Reports.begin()->first == "told");
   CHECK(limitReports(Servers, 20s).empty());
+  forgetLapsedLimits(Servers, 39s);
+  CHECK(Servers.find("told")->Limit.RequestsPerSecond);
+  forgetLapsedLimits(Servers, 40s);
+  CHECK_FALSE(Servers.find("told")->Limit.RequestsPerSecond);
 }
