Do not suspect requests that still ran when a leaving server ended

Found by reading the fix for requests that crash servers, shown by a test: a server that drains ends after its time, also with requests that still run. Each counted as lost in a crash, and a long request that was lost so twice was refused as one that crashes servers.

Change: a server that was draining, or whose row is gone, gives no evidence.

Result: tst_CrashingRequests "Requests that are lost with servers that were draining are not suspected" failed before (refused in the third round) and passes now.

--- a/src/features/gateway/CrashDetector.cpp
+++ b/src/features/gateway/CrashDetector.cpp
@@ -30,7 +30,8 @@
   const auto Found = this->LostByServer.find(Server);
   const std::vector<LostRequest> Lost = std::move(Found->second);
   this->LostByServer.erase(Found);
-  if (!Error)
+  // A server that leaves ends also if requests still run.
+  if (!Error || Server->Record.Draining || Server->Removed)
     co_return;
   for (const LostRequest &Item : Lost)
     logEvent(Event::RequestLostInCrash, {{"request", Item.Id},
--- a/src/features/gateway/FleetTestBed.cpp
+++ b/src/features/gateway/FleetTestBed.cpp
@@ -65,6 +65,13 @@
   return Item;
 }
 
+std::vector<std::string> FleetTestBed::ids() const {
+  std::vector<std::string> Result;
+  for (const auto &Item : this->Servers)
+    Result.push_back(Item.first);
+  return Result;
+}
+
 void FleetTestBed::close(Server &Item) {
   Item.Http->stopAccepting();
   this->Ended.push_back(std::move(Item.Http));
--- a/src/features/gateway/FleetTestBed.h
+++ b/src/features/gateway/FleetTestBed.h
@@ -40,6 +40,10 @@
   FleetTestBed &operator=(const FleetTestBed &) = delete;
 
   Server &addServer(const std::string &Id);
+  /// Ids of all servers, also of those that ended.
+  std::vector<std::string> ids() const;
+  /// Ends a server; another one with a new id registers at once.
+  void crash(const std::string &Id);
   /// Advances the clock, and runs I/O handlers and due timers meanwhile.
   void advance(Clock::duration Time);
   /// Starts a safe request on a new connection to an instance.
@@ -68,8 +72,6 @@
   void listen(const std::string &Id, const std::string &Address);
   /// Closes the listener and all connections of a server.
   void close(Server &Item);
-  /// Ends a server; another one with a new id registers at once.
-  void crash(const std::string &Id);
   asio::awaitable<HttpMessage> serve(std::string Id, HttpMessage Message);
 
   asio::io_context Context;
--- a/src/features/gateway/tst_CrashingRequests.cpp
+++ b/src/features/gateway/tst_CrashingRequests.cpp
@@ -116,3 +116,28 @@
   for (const auto &Instance : Bed.Instances)
     CHECK(Instance->state().Suspects.empty());
 }
+
+// Guards against suspecting requests that still ran when a server that left
+// ended.
+TEST_CASE("Requests that are lost with servers that were draining are not "
+          "suspected",
+          "[gateway]") {
+  CrashBed Bed;
+  Bed.WorkTime = 1300ms;
+  for (std::size_t Round = 0; Round < 3; ++Round) {
+    const auto Call = Bed.send(0, "/order/x", "long");
+    Bed.advance(50ms);
+    for (const auto &[Id, Server] : Bed.Servers)
+      if (Server.Http && !Server.Arrivals.empty())
+        Bed.Tables.put("backends", Id, Server.Address + " z-a draining");
+    Bed.advance(1100ms);
+    const auto Servers = Bed.ids();
+    for (const std::string &Id : Servers)
+      if (Bed.Servers.at(Id).Http && !Bed.Servers.at(Id).Arrivals.empty())
+        Bed.crash(Id);
+    Bed.advance(400ms);
+    CHECK(Call->Status == 502);
+  }
+  CHECK(Bed.Crashes.size() == 3);
+  CHECK(Bed.Instances[0]->state().Suspects.empty());
+}
