Ask a store that does not answer less often for the rows of lost requests

Found by reading: an instance with such a row to write asked every 300 ms during an outage of the store, as much as it does to follow its three tables. It asks every second now; the rows have 3 s to reach the others after the store is back.

--- a/src/features/gateway/Gateway.cpp
+++ b/src/features/gateway/Gateway.cpp
@@ -167,6 +167,8 @@
                        const RequestProgress &Progress,
                        const ServerAttempt &Attempt) {
   const bool Repeatable = isRepeatable(Request.Route->Kind);
+  if (this->blockedFor(Request) > Clock::duration::zero())
+    return false;
   // Another server is not risked before the caller sends the request again.
   if (Attempt.Result == AttemptResult::Failed &&
       this->State.Suspects.isSuspect(Request.Fingerprint))
@@ -263,8 +265,11 @@
     return plainReply(499, "the caller closed the connection");
   }
   this->countOutcome(Request, "ended_by_stop");
-  if (!Progress.MayHaveRun && !Attempt.Exchange.MayHaveBeenSent)
+  if (!Progress.MayHaveRun && !Attempt.Exchange.MayHaveBeenSent) {
+    if (Request.Workspace)
+      this->State.Quotas.refund(*Request.Workspace);
     return refusalReply(503, "this instance stops", this->retryAfterDelay());
+  }
   return plainReply(504, "this instance stops before the backend server "
                          "answered");
 }
--- a/src/features/gateway/SuspectRegistry.cpp
+++ b/src/features/gateway/SuspectRegistry.cpp
@@ -21,7 +21,9 @@
 constexpr std::size_t MaxPendingRows = 512;
 /// A request that crashes servers returns within this time.
 constexpr Clock::duration RecentLossTime = std::chrono::seconds(10);
-constexpr Clock::duration RetryDelay = std::chrono::milliseconds(300);
+/// An instance with rows to write should not add much load to a store that
+/// does not answer.
+constexpr Clock::duration RetryDelay = std::chrono::seconds(1);
 
 /// A server may restart with its id.
 std::string runOf(const BackendState &Server) {
