--- a/src/features/gateway/tst_CrashingRequests.cpp
+++ b/src/features/gateway/tst_CrashingRequests.cpp
@@ -50,8 +50,7 @@
 
 } // namespace
 
-// Guards against a request that crashes servers one after the other because
-// it returns with another id, at another instance.
+// Guards against a request that crashes a server each time it returns.
 TEST_CASE("A request that crashed three servers is stopped on all instances",
           "[gateway]") {
   CrashBed Bed;
@@ -74,8 +73,7 @@
   CHECK(Bed.request(InstanceCount, "/safe/x", "harmless").Status == 200);
 }
 
-// Guards against refusing requests that were lost beside one that crashes
-// servers.
+// Guards against refusing requests that were lost beside a crashing one.
 TEST_CASE("A request that is lost in crashes of others and answered in between "
           "is not refused",
           "[gateway]") {
@@ -117,8 +115,7 @@
     CHECK(Instance->state().Suspects.empty());
 }
 
-// Guards against suspecting requests that still ran when a server that left
-// ended.
+// Guards against suspecting requests that ran when a leaving server ended.
 TEST_CASE("Requests that are lost with servers that were draining are not "
           "suspected",
           "[gateway]") {
--- a/src/features/gateway/tst_ServerLimit.cpp
+++ b/src/features/gateway/tst_ServerLimit.cpp
@@ -63,8 +63,7 @@
 
 } // namespace
 
-// Guards against instances that together send a server more than the limit that
-// it names.
+// Guards against a sum over all instances that exceeds the limit.
 TEST_CASE(
     "A server gets no more than the limit that it names from all instances",
     "[gateway]") {
@@ -109,8 +108,7 @@
   CHECK(Bed.arrivals(From, Clock::now()) == 200);
 }
 
-// Guards against a limit that only instances that were told keep, one of which
-// has just started.
+// Guards against an instance that does not know what others were told.
 TEST_CASE("An instance that starts later keeps a limit that others were told",
           "[gateway]") {
   LimitBed Bed;
--- a/src/features/gateway/tst_SteeringInstance.cpp
+++ b/src/features/gateway/tst_SteeringInstance.cpp
@@ -133,8 +133,7 @@
   CHECK(B.arrivals() == 1);
 }
 
-// Guards against an earlier refusal, written once more on a kept connection,
-// that is taken for the answer to a request that runs.
+// Guards against an earlier refusal that is written once more.
 TEST_CASE("A refusal that does not name the request is not believed",
           "[instance]") {
   const int Status = GENERATE(503, 421);
@@ -152,7 +151,7 @@
   CHECK(B.arrivals() == 1);
 }
 
-// Guards against the answer to another request that is passed on as a failure.
+// Guards against the failure of another request that is passed on.
 TEST_CASE("A failure that does not name the request is not passed on",
           "[instance]") {
   Bed B;
--- a/src/features/gateway/tst_SteeringStop.cpp
+++ b/src/features/gateway/tst_SteeringStop.cpp
@@ -37,8 +37,7 @@
   CHECK(Done);
 }
 
-// Guards against requests that are taken late in a planned stop, passed on, and
-// cut without an answer at its end.
+// Guards against requests that are cut without an answer at the end of a stop.
 TEST_CASE("A request that comes late in a stop is answered before its end",
           "[instance]") {
   Bed B;
--- a/src/features/quarantine/tst_SharedSuspects.cpp
+++ b/src/features/quarantine/tst_SharedSuspects.cpp
@@ -23,8 +23,7 @@
 
 } // namespace
 
-// Guards against a harmless request that is refused because a zone failed while
-// it ran on several servers.
+// Guards against refusing a request that ran several times in a failed zone.
 TEST_CASE("Losses at one moment do not block a request") {
   CHECK(suspectsAfter(6, 0ms).blockedFor("f", Start + 1s) == 0ms);
   // Sent again to servers that failed in the same event.
@@ -46,8 +45,7 @@
   CHECK(Suspects.expired(End).size() == 2);
 }
 
-// Guards against one crash that is counted several times, since several
-// instances report it.
+// Guards against one crash that counts for each instance that reports it.
 TEST_CASE("Losses with the same run of a server count once") {
   SharedSuspects Suspects;
   for (int Index = 0; Index < 4; ++Index)
@@ -68,7 +66,7 @@
   CHECK_FALSE(Suspects.isSuspect("f0"));
 }
 
-// Guards against an answer that clears a request although it was lost later.
+// Guards against an answer that clears a request which was lost later.
 TEST_CASE(
     "Only answers after a loss was sent prove that a request is harmless") {
   const Clock::time_point Answered{1000s};
--- a/src/features/steering/tst_PlacementRule.cpp
+++ b/src/features/steering/tst_PlacementRule.cpp
@@ -86,8 +86,7 @@
   CHECK(S.choose().Outcome == Placement::Result::Full);
 }
 
-// Guards against requests that are refused although servers have room, because
-// the homes of their objects named a limit.
+// Guards against refusals although other servers than the home have room.
 TEST_CASE(
     "The objects of servers that named a limit get other homes under load",
     "[placement]") {
--- a/src/features/steering/tst_ServerLimits.cpp
+++ b/src/features/steering/tst_ServerLimits.cpp
@@ -71,8 +71,7 @@
 
 } // namespace
 
-// Guards against a sum over the fleet that exceeds the server's limit, and
-// against a server that gets much less than it takes.
+// Guards against a sum over the fleet that is above, or far below, the limit.
 TEST_CASE("The requests of all instances stay within a server's limit") {
   const int Size = GENERATE(1, 2, 12, 300);
   const double Limit = GENERATE(0.0, 0.3, 1.0, 4.9, 50.0, 1000.0);
@@ -100,8 +99,7 @@
   CHECK(Far == 0);
 }
 
-// Guards against a limit that an answer to an earlier request ends, and one
-// that never ends.
+// Guards against a limit that ends too early, or never.
 TEST_CASE("A limit holds until a later answer names none") {
   BackendState Server = serverOf("a");
   CHECK_FALSE(noteLimit(Server, std::nullopt, Start, Start, 10s));
@@ -127,8 +125,7 @@
   CHECK_FALSE(currentLimit(Server, 12s));
 }
 
-// Guards against instances that pass on what they were told as their own, so
-// that an outdated limit goes round for ever.
+// Guards against an outdated limit that instances tell each other for ever.
 TEST_CASE("An instance reports only what a server said to it") {
   BackendPool Servers({});
   BackendRecord Record;
--- a/src/libs/base/tst_Clock.cpp
+++ b/src/libs/base/tst_Clock.cpp
@@ -35,8 +35,7 @@
   CHECK(Woken);
 }
 
-// Guards against steps in which due timers do not run because the kernel
-// reports the expiry late.
+// Guards against due timers that wait for the next step.
 TEST_CASE("Each step of a paused clock runs all timers that are due") {
   TestLoop Loop;
   int Wakeups = 0;
--- a/src/libs/http1/tst_HttpConnectionPool.cpp
+++ b/src/libs/http1/tst_HttpConnectionPool.cpp
@@ -161,8 +161,7 @@
   }
 }
 
-// Guards against an answer without a body from a server that stopped in its
-// head.
+// Guards against an answer from a server that stopped in its head.
 TEST_CASE(
     "A response whose server closes at any byte before the end is an error",
     "[links]") {
--- a/src/libs/http1/tst_MessageParser.cpp
+++ b/src/libs/http1/tst_MessageParser.cpp
@@ -95,8 +95,7 @@
   }
 }
 
-// Guards against a short answer that looks whole because its server stopped
-// before it had told the length.
+// Guards against a short answer that looks whole.
 TEST_CASE("A response whose head ends at any byte is never complete",
           "[http1]") {
   for (const std::string Head :
