--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -357,6 +357,7 @@
         self.zones = zones  # {zone: region}
         self.store = Store()
         self.instances, self.servers, self.ids, self.sent_at = [], [], 0, {}
+        self.processes = []  # further processes of a case
 
     def next_id(self):
         self.ids += 1
@@ -390,6 +391,10 @@
                 instance.process.send_signal(signal.SIGCONT)
                 instance.process.kill()
                 instance.process.wait()
+        for process in self.processes:
+            if process.poll() is None:
+                process.kill()
+            process.wait()
 
 
 def configuration(version, rules, services, tenants=None, limits=None):
