Review case 5: a late write of an instance's row makes a second holder

Cause: the row of an instance is written without a condition and taken without a look at its time, so a write whose answer was lost and that is done seconds later replaces newer rows, and the others drop a running holder. Change: a script with stand-ins shows it; stand-ins use ports below those for outgoing connections. Nothing is fixed.

--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -51,15 +52,17 @@
 
 
 def free_address():
-    """A free loopback address; its socket stays bound, not listening, until all are taken."""
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind(("127.0.0.1", 0))
-        port = probe.getsockname()[1]
-    if port in _ports:
-        return free_address()
-    _ports.append(port)
-    return f"127.0.0.1:{port}"
+    """A free loopback address, below the ports that Linux gives to outgoing connections."""
+    while True:
+        port = random.randrange(15000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in _ports:
+            _ports.append(port)
+            return f"127.0.0.1:{port}"
 
 
 def split(address):
@@ -100,6 +103,9 @@
         self.rejected = set()  # machines that get 503
         self.read_at = {}  # by table: when changes were last handed out
         self.written_at = {}  # by (table, key)
+        # Called with (machine, writes) before a transaction is done; if it returns a number of seconds, the call gets no
+        # response and is performed that much later, if its condition still holds.
+        self.delay_write = None
         self.servers = []
 
     async def listen(self, machine):
@@ -140,6 +146,13 @@
                 line, _, body = message
                 method, target, _ = line.split(" ")
                 await asyncio.sleep(0.004)
+                delay = None
+                if method == "POST" and self.delay_write and machine not in self.rejected:
+                    delay = self.delay_write(machine, json.loads(body).get("upserts", []))
+                if delay:
+                    await asyncio.sleep(delay)
+                    await self.answer(method, target, body)
+                    break  # "A connection on which a response is lost delivers nothing further."
                 if machine in self.rejected:
                     status, answer = 503, {}
                 else:
