--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -102,6 +102,7 @@
         self.changed = asyncio.Event()
         self.rejected = set()  # machines that get 503
         self.read_at = {}  # by table: when changes were last handed out
+        self.read_by = {}  # by (machine, table)
         self.written_at = {}  # by (table, key)
         # Called with (machine, writes) before a transaction is done; if it returns a number of seconds, the call gets no
         # response and is performed that much later, if its condition still holds.
@@ -159,6 +160,8 @@
                     status, answer = await self.answer(method, target, body)
                     if machine in self.rejected:
                         status, answer = 503, {}
+                    elif "/-/rows-feed" in target:
+                        self.read_by[machine, target.split("table-name=")[1].split("&")[0]] = now()
                 answer.update({"schema-version": answer.get("schema-version", self.version),
                                "current-time-s": round(now() + 50, 4)})
                 writer.write(response(status, {"Content-Type": "application/json"}, json.dumps(answer).encode()))
