--- a/review/5/case.py
+++ b/review/5/case.py
@@ -71,7 +71,7 @@
             raise B.CannotRun("no write fitted")
         pressing.cancel()
         bed.record.add("late write done")
-        await asyncio.sleep(1.1)
+        await asyncio.sleep(1.5)
     else:
         await press(2, 12)
     bed.record.add("the tenant sends much")
--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -451,9 +451,13 @@
         except asyncio.TimeoutError:
             print("could not run: out of time")
             return 2, bed
+        except Exception as error:  # such as a program that is not built
+            print("could not run:", repr(error))
+            return 2, bed
         finally:
             bed.stop()
 
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the processes are ended then, too
     result, bed = asyncio.run(main())
     bed.record.add("result", text=str(result), logs=bed.folder)
     bed.record.close()
