Count stored reports on a machine that has just started

Cause: UsageTestBed::storedReports() searched from 200 windows before the current one. Windows are unsigned, and with a paused clock they are counted from the start of the machine, 5 s each. Below 1,000 s the difference wrapped, and the search ended before its first window.

Change: the search begins at window 0 at the earliest. The product computes windows from the system clock and subtracts none (UsageReporter, UsageDuty, UsageBacklog, UsageLease were read).

--- a/src/features/usage/UsageTestBed.cpp
+++ b/src/features/usage/UsageTestBed.cpp
@@ -6,6 +6,8 @@
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 
+#include <algorithm>
+
 namespace rr {
 
 namespace {
@@ -15,6 +17,7 @@
 constexpr Clock::duration ReadPeriod = std::chrono::seconds(2);
 /// Of the store, for a write.
 constexpr Clock::duration CommitTimeout = std::chrono::seconds(2);
+constexpr UsageWindow WindowsSearched = 200;
 
 } // namespace
 
@@ -257,7 +260,10 @@
 std::size_t UsageTestBed::storedReports() const {
   std::size_t Count = 0;
   const UsageWindow Now = this->window();
-  for (UsageWindow Window = Now - 200; Window <= Now; ++Window) {
+  // Windows are counted from the start of the machine here, so there may be
+  // fewer than are searched.
+  const UsageWindow Oldest = Now - std::min(Now, WindowsSearched);
+  for (UsageWindow Window = Oldest; Window <= Now; ++Window) {
     const std::string *Row =
         this->Tables.find(UsageDuty::ReportTable, std::to_string(Window));
     // A removed row has no value.
--- a/src/libs/base/Clock.cpp
+++ b/src/libs/base/Clock.cpp
@@ -26,8 +26,10 @@
   return time_point(duration(steadyClockReading() + Offset.load()));
 }
 
-void Clock::pause() {
-  PausedReading = now().time_since_epoch().count();
+void Clock::pause() { pauseAt(now()); }
+
+void Clock::pauseAt(time_point Reading) {
+  PausedReading = Reading.time_since_epoch().count();
   Paused = true;
 }
 
--- a/src/libs/base/Clock.h
+++ b/src/libs/base/Clock.h
@@ -18,6 +18,9 @@
 
   /// Stops the clock at the current time.
   static void pause();
+  /// Stops the clock at \p Reading, for tests that depend on how long the
+  /// machine has been up.
+  static void pauseAt(time_point Reading);
   /// Restarts a paused clock from the time that it shows.
   static void resume();
   /// Moves a paused clock forward. Requires a paused clock and \p Step >= 0.
