Refuse answers whose status line is not one of HTTP/1

Callers got answers whose status was 000, as "HTTP/1.1 0 Unknown", from a server in trouble. The same held for 099, 20, 600, for HTTP/2.0 and for an empty line before the status line, directly and through a standby.

Cause: the parser library accepts more than the grammar of RFC 9112 does (any number up to 999 as the status, any version, any bytes in the reason phrase), and MessageParser copied what it got. Nothing checked the difference.

Change: MessageSyntax checks the bytes of the status line before the library reads them. A status line that ends after the status code, HTTP/1.0 and minor versions above 1 are accepted as before. HttpConnection closes the connection and reports what was wrong as ExchangeResult::Fault. The gateway repeats the request where it may, and answers 502 ("the request may have run") otherwise; it logs AnswerMalformed (2411) with server, reason and request in place of AttemptFailed, and counts it. StandbyForwarder does the same for answers of other instances. An answer that does not fit into the memory budget of this process is LimitReached, since the server is not to blame.

This works for any such status line because only bytes that conform reach the library, however they are split over reads.

--- a/src/features/gateway/Gateway.cpp
+++ b/src/features/gateway/Gateway.cpp
@@ -252,17 +252,7 @@
       }
       Progress.ServerFailure = std::move(Attempt.Exchange.Response);
     }
-    this->logRateLimited(
-        Event::AttemptFailed,
-        std::string("attempt_") + attemptResultName(Attempt.Result), [&] {
-          return std::vector<EventField>{
-              {"request", Request.Id},
-              {"route", Request.Route->Name},
-              {"server", Attempt.Decision.Server->Record.Id},
-              {"result", attemptResultName(Attempt.Result)},
-              {"error", Attempt.Exchange.Error.message()},
-              {"ms", millisecondText(Attempt.Time)}};
-        });
+    this->logFailedAttempt(Request, Attempt);
     if (!this->mayRetry(Request, Progress, Attempt))
       co_return this->failRequest(Request, Progress, NoRetry);
   }
--- a/src/features/gateway/Gateway.h
+++ b/src/features/gateway/Gateway.h
@@ -136,6 +136,8 @@
   HttpMessage endRequest(const GatewayRequest &Request,
                          const RequestProgress &Progress,
                          const ServerAttempt *Attempt);
+  void logFailedAttempt(const GatewayRequest &Request,
+                        const ServerAttempt &Attempt);
   void logCallerLeft(const GatewayRequest &Request,
                      const ServerAttempt *Attempt);
   void logOutcome(const GatewayRequest &Request,
--- a/src/features/gateway/GatewayTelemetry.cpp
+++ b/src/features/gateway/GatewayTelemetry.cpp
@@ -42,6 +42,10 @@
                      {{"service", Progress.Service},
                       {"region", Server.Region},
                       {"result", attemptResultName(Attempt.Result)}});
+  if (Attempt.Exchange.Fault != MessageFault::None)
+    this->Counters.add(Metric::SteeringMalformedAnswers,
+                       {{"sender", "server"},
+                        {"reason", messageFaultName(Attempt.Exchange.Fault)}});
   if (Attempt.Result == AttemptResult::Answered)
     this->Counters.observe(
         Metric::SteeringAttemptSeconds,
@@ -87,6 +91,34 @@
   return Refusal;
 }
 
+void Gateway::logFailedAttempt(const GatewayRequest &Request,
+                               const ServerAttempt &Attempt) {
+  const ExchangeResult &Exchange = Attempt.Exchange;
+  const std::string &Server = Attempt.Decision.Server->Record.Id;
+  if (Exchange.Fault != MessageFault::None) {
+    this->logRateLimited(Event::AnswerMalformed, "answer_malformed", [&] {
+      return std::vector<EventField>{
+          {"request", Request.Id},
+          {"route", Request.Route->Name},
+          {"server", Server},
+          {"reason", messageFaultName(Exchange.Fault)},
+          {"ms", millisecondText(Attempt.Time)}};
+    });
+    return;
+  }
+  this->logRateLimited(
+      Event::AttemptFailed,
+      std::string("attempt_") + attemptResultName(Attempt.Result), [&] {
+        return std::vector<EventField>{
+            {"request", Request.Id},
+            {"route", Request.Route->Name},
+            {"server", Server},
+            {"result", attemptResultName(Attempt.Result)},
+            {"error", Exchange.Error.message()},
+            {"ms", millisecondText(Attempt.Time)}};
+      });
+}
+
 void Gateway::logCallerLeft(const GatewayRequest &Request,
                             const ServerAttempt *Attempt) {
   const bool Sent = Attempt && Attempt->Exchange.MayHaveBeenSent;
--- a/src/features/gateway/StandbyForwarder.cpp
+++ b/src/features/gateway/StandbyForwarder.cpp
@@ -8,6 +8,7 @@
 #include "http1/MessageSerializer.h"
 #include "logging/EventLog.h"
 #include "tables/BootTime.h"
+#include "telemetry/Metrics.h"
 
 #include <algorithm>
 #include <charconv>
@@ -55,8 +56,10 @@
 } // namespace
 
 StandbyForwarder::StandbyForwarder(asio::io_context &Io,
-                                   SteeringState &SharedState)
-    : State(SharedState), Lookups(Io, MaxIdleLookupLinks, {}),
+                                   SteeringState &SharedState,
+                                   Metrics &InstanceMetrics)
+    : State(SharedState), Counters(InstanceMetrics),
+      Lookups(Io, MaxIdleLookupLinks, {}),
       // A request that must run only once could be lost on an idle connection
       // that is being closed.
       Requests(Io, 0,
@@ -179,6 +182,24 @@
   });
 }
 
+void StandbyForwarder::reportMalformed(const ExchangeResult &Result,
+                                       const HttpMessage &Request,
+                                       const std::string &Address) {
+  if (Result.Fault == MessageFault::None)
+    return;
+  const char *Reason = messageFaultName(Result.Fault);
+  this->Counters.add(Metric::SteeringMalformedAnswers,
+                     {{"sender", "instance"}, {"reason", Reason}});
+  this->Log.write(Event::AnswerMalformed, "answer_malformed_forwarded", [&] {
+    const std::string *Id =
+        findHeader(Request.Headers, this->State.Settings.Headers.RequestId);
+    return std::vector<EventField>{{"request", Id ? *Id : ""},
+                                   {"route", "forwarded"},
+                                   {"server", Address},
+                                   {"reason", Reason}};
+  });
+}
+
 asio::awaitable<std::optional<HttpMessage>>
 StandbyForwarder::forwardRequest(HttpMessage Request, CancellationPtr Cancel) {
   const Clock::time_point Start = Clock::now();
@@ -210,6 +231,7 @@
              CanFinish();
     };
     auto Result = co_await this->Requests.call(std::move(Call));
+    this->reportMalformed(Result, Request, Address);
     if (!Result.Error) {
       // An instance without room answers 503 before it looks at the request.
       const bool NoRoom = Result.Response.Status == 503 &&
@@ -264,6 +286,7 @@
     Call.Request = Request;
     Call.ConnectDeadline = Call.Deadline = Clock::now() + LookupTimeout;
     auto Result = co_await this->Lookups.call(std::move(Call));
+    this->reportMalformed(Result, Request, Address);
     if (!Result.Error && Result.Response.Status == 200) {
       removeHopByHopHeaders(Result.Response.Headers);
       co_return std::move(Result.Response);
--- a/src/features/gateway/StandbyForwarder.h
+++ b/src/features/gateway/StandbyForwarder.h
@@ -18,6 +18,8 @@
 
 namespace rr {
 
+class Metrics;
+
 /// Forwards requests and look-ups that arrive at a standby, whose view of the
 /// tables is outdated, to instances in service in the same availability zone or
 /// region. An instance whose own orders may be outdated declines.
@@ -34,9 +36,10 @@
   /// did not run.
   static HttpMessage declinedReply();
 
-  /// \p State must outlive the forwarder. Its NewestSeen takes account of the
-  /// versions that answers name.
-  StandbyForwarder(asio::io_context &Context, SteeringState &State);
+  /// \p State and \p Counters must outlive the forwarder. NewestSeen of the
+  /// state takes account of the versions that answers name.
+  StandbyForwarder(asio::io_context &Context, SteeringState &State,
+                   Metrics &Counters);
 
   /// Takes the connections to other instances from \p Budget.
   void setBudget(const std::shared_ptr<ConnectionBudget> &Budget);
@@ -52,6 +55,10 @@
 private:
   void logCallerLeft(const Cancellation &Cancel, bool Sent,
                      Clock::time_point Start);
+  /// Reports an answer of the instance at \p Address that is no valid HTTP;
+  /// does nothing for other results.
+  void reportMalformed(const ExchangeResult &Result, const HttpMessage &Request,
+                       const std::string &Address);
   /// Removes the version header of \p Answer and records its value.
   void recordVersion(HttpMessage &Answer);
   /// Time-out for the whole request.
@@ -63,6 +70,7 @@
   std::vector<std::string> candidates(Clock::time_point Now);
 
   SteeringState &State;
+  Metrics &Counters;
   /// Keeps idle connections, since look-ups may be repeated.
   HttpConnectionPool Lookups;
   /// Keeps no idle connections: a request that must run only once could be lost
--- a/src/features/gateway/SteeringInstance.cpp
+++ b/src/features/gateway/SteeringInstance.cpp
@@ -44,7 +44,7 @@
       LoadSignal(this->State, this->Links),
       Suspects(Io, this->State, this->Store),
       RequestGateway(Io, this->State, this->Quotas, this->Counters),
-      Forwarder(Io, this->State),
+      Forwarder(Io, this->State, this->Counters),
       CallerServer(Io,
                    [this](HttpMessage Request, CancellationPtr Cancel) {
                      return this->handleCaller(std::move(Request),
--- a/src/features/gateway/tst_AbandonedRequests.cpp
+++ b/src/features/gateway/tst_AbandonedRequests.cpp
@@ -123,7 +123,8 @@
   Record.Region = "z";
   Record.Address = "127.0.0.1:" + std::to_string(Other.port());
   State.Members.apply(Record);
-  StandbyForwarder Forwarder(Context, State);
+  Metrics Counters;
+  StandbyForwarder Forwarder(Context, State, Counters);
   const auto Forward = [&](bool HasLeft) {
     HttpMessage Request;
     Request.Method = "GET";
--- a/src/libs/http1/ExchangeResult.h
+++ b/src/libs/http1/ExchangeResult.h
@@ -3,6 +3,7 @@
 
 #include "base/Clock.h"
 #include "http1/HttpMessage.h"
+#include "http1/MessageFault.h"
 
 #include <optional>
 #include <system_error>
@@ -13,8 +14,11 @@
 struct ExchangeResult {
   /// Set when no complete response was received: Errc::Timeout,
   /// Errc::Cancelled, Errc::ConnectionRefused, Errc::ConnectionLost,
-  /// Errc::Malformed or Errc::LimitReached.
+  /// Errc::Malformed, or Errc::LimitReached if there is no connection or no
+  /// memory left for the exchange.
   std::error_code Error;
+  /// What is wrong with the bytes that the server sent, with Errc::Malformed.
+  MessageFault Fault = MessageFault::None;
   HttpMessage Response;
   /// False only when it is certain that the server received no byte of the
   /// request, which makes a retry safe.
--- a/src/libs/http1/HttpConnection.cpp
+++ b/src/libs/http1/HttpConnection.cpp
@@ -33,6 +33,17 @@
   return asio::redirect_error(asio::use_awaitable, Error);
 }
 
+std::error_code errorOf(const MessageParser &Parser) {
+  switch (Parser.error()) {
+  case ParseError::None:
+    return make_error_code(Errc::ConnectionLost);
+  case ParseError::BodyBudgetExhausted:
+    return make_error_code(Errc::LimitReached);
+  default:
+    return make_error_code(Errc::Malformed);
+  }
+}
+
 /// Idle timeout that the server announces, less a fifth for network latency and
 /// timer differences.
 Clock::duration idleTimeoutOf(const HttpMessage &Response) {
@@ -171,8 +182,8 @@
     }
     if (!Parser.isComplete()) {
       Result.Error =
-          make_error_code(Parser.hasStarted() && !Error ? Errc::Malformed
-                                                        : Errc::ConnectionLost);
+          Error ? make_error_code(Errc::ConnectionLost) : errorOf(Parser);
+      Result.Fault = Error ? MessageFault::None : Parser.fault();
       break;
     }
     HttpMessage Response = Parser.take();
@@ -184,6 +195,7 @@
       if (!ConnectionEnds && ++Skipped <= MaxSkippedResponses)
         continue;
       Result.Error = make_error_code(Errc::Malformed);
+      Result.Fault = MessageFault::OtherRequest;
       break;
     }
     this->KeepAlive = !ConnectionEnds && Skipped == 0;
--- a/src/libs/http1/MessageParser.cpp
+++ b/src/libs/http1/MessageParser.cpp
@@ -1,6 +1,7 @@
 #include "http1/MessageParser.h"
 
 #include "http1/ByteBudget.h"
+#include "http1/MessageSyntax.h"
 
 #include <http_parser.h>
 
@@ -9,7 +10,30 @@
 
 namespace rr {
 
+namespace {
+
+MessageFault faultOf(http_errno Code) {
+  switch (Code) {
+  case HPE_INVALID_CONTENT_LENGTH:
+  case HPE_UNEXPECTED_CONTENT_LENGTH:
+    return MessageFault::BodyLength;
+  case HPE_INVALID_TRANSFER_ENCODING:
+    return MessageFault::TransferCoding;
+  case HPE_INVALID_CHUNK_SIZE:
+    return MessageFault::Chunk;
+  case HPE_INVALID_HEADER_TOKEN:
+    return MessageFault::FieldValue;
+  case HPE_INVALID_VERSION:
+    return MessageFault::Version;
+  default:
+    return MessageFault::StartLine;
+  }
+}
+
+} // namespace
+
 struct MessageParser::State {
+  MessageSyntax Syntax;
   http_parser Parser{};
   http_parser_settings Callbacks{};
   ParserLimits Limits;
@@ -22,6 +46,7 @@
   bool Complete = false;
   bool NoBody = false;
   ParseError Error = ParseError::None;
+  MessageFault Fault = MessageFault::None;
 
   static State &fromParser(http_parser *Parser) {
     return *static_cast<State *>(Parser->data);
@@ -33,6 +58,11 @@
     return 1;
   }
 
+  int stop(MessageFault Reason) {
+    this->Fault = Reason;
+    return this->stop(ParseError::Malformed);
+  }
+
   int addHeaderBytes(std::size_t Length) {
     this->HeaderBytes += Length;
     if (this->HeaderBytes > this->Limits.MaxHeaderBytes)
@@ -109,6 +139,10 @@
     return 0;
   }
 
+  /// Feeds bytes that conform to the grammar to the library. Returns how many
+  /// it has used.
+  std::size_t parse(std::string_view Bytes);
+
   int onComplete() {
     this->Message.KeepAlive = http_should_keep_alive(&this->Parser) != 0;
     this->Complete = true;
@@ -153,22 +187,37 @@
 
 MessageParser::~MessageParser() = default;
 
-std::size_t MessageParser::feed(std::string_view Bytes) {
-  State &S = *this->Core;
-  if (S.Complete || S.Error != ParseError::None || Bytes.empty())
+std::size_t MessageParser::State::parse(std::string_view Bytes) {
+  if (Bytes.empty())
     return 0;
-  S.Started = true;
-  const std::size_t Used =
-      http_parser_execute(&S.Parser, &S.Callbacks, Bytes.data(), Bytes.size());
-  const auto Code = HTTP_PARSER_ERRNO(&S.Parser);
-  if (S.Error != ParseError::None)
+  const std::size_t Used = http_parser_execute(&this->Parser, &this->Callbacks,
+                                               Bytes.data(), Bytes.size());
+  const auto Code = HTTP_PARSER_ERRNO(&this->Parser);
+  if (this->Error != ParseError::None)
     return Used;
   if (Code == HPE_HEADER_OVERFLOW)
-    S.Error = ParseError::HeaderTooLarge;
+    this->stop(ParseError::HeaderTooLarge);
   else if (Code != HPE_OK && Code != HPE_PAUSED)
-    S.Error = ParseError::Malformed;
-  else if (S.Parser.upgrade && S.Complete)
-    S.Message.KeepAlive = false;
+    this->stop(faultOf(Code));
+  else if (this->Parser.upgrade && this->Complete)
+    this->Message.KeepAlive = false;
+  return Used;
+}
+
+std::size_t MessageParser::feed(std::string_view Bytes) {
+  State &S = *this->Core;
+  std::size_t Used = 0;
+  while (Used < Bytes.size() && !S.Complete && S.Error == ParseError::None) {
+    S.Started = true;
+    const std::string_view Rest = Bytes.substr(Used);
+    const std::size_t Checked =
+        S.Parser.type == HTTP_RESPONSE ? S.Syntax.check(Rest) : Rest.size();
+    Used += S.parse(Rest.substr(0, Checked));
+    if (S.Complete || S.Error != ParseError::None)
+      break;
+    if (S.Syntax.fault() != MessageFault::None)
+      S.stop(S.Syntax.fault());
+  }
   return Used;
 }
 
@@ -178,7 +227,7 @@
     return;
   http_parser_execute(&S.Parser, &S.Callbacks, nullptr, 0);
   if (!S.Complete && S.Error == ParseError::None)
-    S.Error = ParseError::Malformed;
+    S.stop(ParseError::Malformed);
 }
 
 void MessageParser::expectNoBody() { this->Core->NoBody = true; }
@@ -194,6 +243,16 @@
   return Field && equalIgnoreCase(*Field, "100-continue");
 }
 ParseError MessageParser::error() const { return this->Core->Error; }
+MessageFault MessageParser::fault() const {
+  switch (this->Core->Error) {
+  case ParseError::HeaderTooLarge:
+    return MessageFault::HeaderTooLarge;
+  case ParseError::BodyTooLarge:
+    return MessageFault::BodyTooLarge;
+  default:
+    return this->Core->Fault;
+  }
+}
 const HttpMessage &MessageParser::message() const {
   return this->Core->Message;
 }
--- a/src/libs/http1/MessageParser.h
+++ b/src/libs/http1/MessageParser.h
@@ -2,6 +2,7 @@
 #define REDWINGRACK_HTTP1_MESSAGEPARSER_H
 
 #include "http1/HttpMessage.h"
+#include "http1/MessageFault.h"
 #include "http1/ParseError.h"
 #include "http1/ParserLimits.h"
 
@@ -12,9 +13,9 @@
 namespace rr {
 
 /// Incremental parser for one HTTP/1.1 message. Stricter than the parser
-/// library: rejects white space in header field names and requests without
-/// exactly one Host field, because proxies and servers interpret such requests
-/// differently.
+/// library: rejects responses whose status line MessageSyntax does not accept,
+/// white space in header field names and requests without exactly one Host
+/// field, because proxies and servers interpret such messages differently.
 class MessageParser {
 public:
   enum class Kind { Request, Response };
@@ -41,6 +42,9 @@
   /// body. Valid once the header is complete.
   bool wantsContinue() const;
   ParseError error() const;
+  /// What makes the message malformed or too large; MessageFault::None if it is
+  /// neither, or only truncated.
+  MessageFault fault() const;
   /// What was received so far. The header fields are valid once the header is
   /// complete.
   const HttpMessage &message() const;
--- /dev/null
+++ b/src/libs/http1/tst_MalformedAnswers.cpp
@@ -0,0 +1,126 @@
+#include "http1/MessageParser.h"
+
+#include <catch2/catch.hpp>
+
+#include <cctype>
+#include <string>
+#include <vector>
+
+using namespace rr;
+
+namespace {
+
+struct Parsed {
+  bool Complete = false;
+  MessageFault Fault = MessageFault::None;
+  std::size_t Used = 0;
+  HttpMessage Message;
+};
+
+/// Feeds \p Text in the pieces that end at \p Ends and at its end.
+Parsed parse(const std::string &Text, std::vector<std::size_t> Ends = {},
+             bool NoBody = false) {
+  MessageParser Parser(MessageParser::Kind::Response, {});
+  if (NoBody)
+    Parser.expectNoBody();
+  Parsed Result;
+  Ends.push_back(Text.size());
+  std::size_t At = 0;
+  for (const std::size_t End : Ends)
+    while (At < End && !Parser.isComplete() &&
+           Parser.error() == ParseError::None)
+      At += Parser.feed(std::string_view(Text).substr(At, End - At));
+  Parser.finish();
+  Result.Complete = Parser.isComplete();
+  Result.Fault = Parser.fault();
+  Result.Used = At;
+  Result.Message = Parser.take();
+  return Result;
+}
+
+/// Checks that an answer is refused in one piece, in two pieces split at each
+/// byte, and byte by byte.
+void checkRefused(const std::string &Text, MessageFault Fault) {
+  std::vector<std::size_t> Each;
+  CAPTURE(Text);
+  const Parsed Whole = parse(Text);
+  CHECK_FALSE(Whole.Complete);
+  CHECK(std::string(messageFaultName(Whole.Fault)) == messageFaultName(Fault));
+  for (std::size_t End = 1; End < Text.size(); ++End) {
+    Each.push_back(End);
+    const Parsed Split = parse(Text, {End});
+    if (Split.Complete || Split.Fault != Fault) {
+      CAPTURE(End);
+      CHECK_FALSE(Split.Complete);
+      CHECK(Split.Fault == Fault);
+    }
+  }
+  const Parsed Single = parse(Text, Each);
+  CHECK_FALSE(Single.Complete);
+  CHECK(Single.Fault == Fault);
+}
+
+/// Checks that an answer is read alike however its bytes are split.
+void checkAccepted(const std::string &Text, int Status, const std::string &Body,
+                   bool NoBody = false) {
+  CAPTURE(Text);
+  std::vector<std::size_t> Each;
+  for (std::size_t End = 1; End <= Text.size(); ++End) {
+    Each.push_back(End);
+    const Parsed Split = parse(Text, {End}, NoBody);
+    if (Split.Complete && Split.Message.Status == Status &&
+        Split.Message.Body == Body)
+      continue;
+    CAPTURE(End);
+    CHECK(Split.Complete);
+    CHECK(Split.Message.Status == Status);
+    CHECK(Split.Message.Body == Body);
+  }
+  CHECK(parse(Text, Each, NoBody).Complete);
+}
+
+const std::string Ok = "HTTP/1.1 200 OK\r\n";
+const std::string Rest = "Content-Length: 2\r\n\r\nab";
+
+} // namespace
+
+// Guards against answers whose status code is no status code: they were passed
+// on as "HTTP/1.1 0 Unknown".
+TEST_CASE("An answer whose status code is not 100 to 599 is refused",
+          "[malformed-answers]") {
+  for (const char *Status :
+       {"000", "001", "099", "20", "2", "0200", "2000", "600", "999", "", "2x0",
+        "-20", "+20", "2e0", "20 0"})
+    checkRefused(std::string("HTTP/1.1 ") + Status + " OK\r\n" + Rest,
+                 MessageFault::StatusCode);
+  checkRefused("HTTP/1.1 000\r\n" + Rest, MessageFault::StatusCode);
+  checkRefused("HTTP/1.1\r\n" + Rest, MessageFault::StartLine);
+}
+
+// Guards against answers of another protocol that are read as HTTP/1.1.
+TEST_CASE("An answer whose status line is not one of HTTP/1 is refused",
+          "[malformed-answers]") {
+  for (const char *Version : {"HTTP/0.9", "HTTP/2.0", "HTTP/9.9", "HTTP/01.1"})
+    checkRefused(std::string(Version) + " 200 OK\r\n" + Rest,
+                 MessageFault::Version);
+  for (const char *Start :
+       {"\r\nHTTP/1.1 200 OK", "\nHTTP/1.1 200 OK", " HTTP/1.1 200 OK",
+        "http/1.1 200 OK", "HTTP/1.10 200 OK", "HTTP/1.1\t200 OK",
+        "HTTP/1.1 200OK", "HTTP/1.1 200\tOK", "HTTP/1.1 200 O\x01K",
+        "HTTP/1.1 200 O\x7FK", "ICY 200 OK"})
+    checkRefused(std::string(Start) + "\r\n" + Rest, MessageFault::StartLine);
+  checkRefused("HTTP/1.1  200 OK\r\n" + Rest, MessageFault::StatusCode);
+}
+
+// Guards against refusing what servers may send.
+TEST_CASE("Proper answers are read alike however their bytes are split",
+          "[malformed-answers]") {
+  for (const char *Line : {"HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.0 200 OK",
+                           "HTTP/1.2 200 OK", "HTTP/1.1 200 \t\xC3\xA4 b"})
+    checkAccepted(std::string(Line) + "\r\n" + Rest, 200, "ab");
+  for (const char *Status : {"200", "299", "404", "503", "599"})
+    checkAccepted(std::string("HTTP/1.1 ") + Status + " R\r\n" + Rest,
+                  std::stoi(Status), "ab");
+  checkAccepted("HTTP/1.0 200 OK\r\n\r\nab", 200, "ab");
+  checkAccepted(Ok + "Connection: close\r\n\r\nab", 200, "ab");
+}
