Refuse messages whose header section another reader ends elsewhere

On other systems an answer reached callers in whose head the name of a field held a control byte, with a body that was not the server's. It did here for two control bytes: CR or LF before or in a name ended the header section, and the rest of it was passed on as the body. A blank before a name made the line part of the value of the field before it. All other blanks, control bytes and delimiters in names were refused already, at all splits of the bytes; their tests stay.

Cause: the library as Debian builds it takes a lone LF for the end of a line and any byte after a CR for the LF. It does not check the first byte of a value, and joins folded lines. Requests go through the same parser.

Change: MessageSyntax checks the whole header section, of requests too, before the library reads it: names, values, CR LF at the end of each line, no folded lines (RFC 9112, section 5.2, leaves the refusal to the recipient), and the request line. If the library sees another end of the header section, the message is refused. White space after a value is removed, as the grammar says: the request id that a server echoed with a blank after it was taken for another one.

--- a/src/features/gateway/tst_MalformedAnswers.cpp
+++ b/src/features/gateway/tst_MalformedAnswers.cpp
@@ -121,6 +121,12 @@
     {"HTTP/1.1 600 OK\r\n@" + Body, "status_code"},
     {"HTTP/2.0 200 OK\r\n@" + Body, "version"},
     {"\r\nHTTP/1.1 200 OK\r\n@" + Body, "start_line"},
+    {"HTTP/1.1 200 OK\r\n@X y: z\r\n" + Body, "field_name"},
+    {"HTTP/1.1 200 OK\r\n@ X: z\r\n" + Body, "field_name"},
+    {"HTTP/1.1 200 OK\r\n@X\x01: z\r\n" + Body, "field_name"},
+    {"HTTP/1.1 200 OK\r\n@\nX: z\r\n" + Body, "field_name"},
+    {"HTTP/1.1 200 OK\r\n@\rX: z\r\n" + Body, "line_end"},
+    {"HTTP/1.1 200 OK\r\n@X: \x01z\r\n" + Body, "field_value"},
 };
 
 /// Two large instances and a standby of one zone, which share the tables and
--- a/src/libs/http1/MessageParser.cpp
+++ b/src/libs/http1/MessageParser.cpp
@@ -5,13 +5,16 @@
 
 #include <http_parser.h>
 
-#include <cctype>
 #include <utility>
 
 namespace rr {
 
 namespace {
 
+void trimTrailingWhitespace(std::string &Value) {
+  Value.erase(Value.find_last_not_of(" \t") + 1);
+}
+
 MessageFault faultOf(http_errno Code) {
   switch (Code) {
   case HPE_INVALID_CONTENT_LENGTH:
@@ -33,6 +36,8 @@
 } // namespace
 
 struct MessageParser::State {
+  explicit State(MessageSyntax::Start First) : Syntax(First) {}
+
   MessageSyntax Syntax;
   http_parser Parser{};
   http_parser_settings Callbacks{};
@@ -95,9 +100,6 @@
       this->Message.Headers.emplace_back();
     }
     this->LastWasValue = false;
-    for (std::size_t Index = 0; Index < Length; ++Index)
-      if (std::isspace(static_cast<unsigned char>(Data[Index])))
-        return this->stop(ParseError::Malformed);
     this->Message.Headers.back().Name.append(Data, Length);
     return this->addHeaderBytes(Length + 2);
   }
@@ -112,13 +114,15 @@
 
   int onHeadersComplete() {
     this->HeaderComplete = true;
+    for (HttpHeader &Field : this->Message.Headers)
+      trimTrailingWhitespace(Field.Value);
     if (this->Parser.type == HTTP_REQUEST) {
       this->Message.Method =
           http_method_str(static_cast<http_method>(this->Parser.method));
       int Hosts = 0;
       for (const HttpHeader &Field : this->Message.Headers)
         Hosts += equalIgnoreCase(Field.Name, "Host") ? 1 : 0;
-      if (Hosts != 1 || this->Parser.http_major != 1)
+      if (Hosts != 1)
         return this->stop(ParseError::Malformed);
     } else {
       this->Message.Status = static_cast<int>(this->Parser.status_code);
@@ -153,7 +157,9 @@
 };
 
 MessageParser::MessageParser(Kind MessageKind, ParserLimits Limits)
-    : Core(std::make_unique<State>()) {
+    : Core(std::make_unique<State>(MessageKind == Kind::Request
+                                       ? MessageSyntax::Start::RequestLine
+                                       : MessageSyntax::Start::StatusLine)) {
   State &S = *this->Core;
   S.Limits = Limits;
   http_parser_init(&S.Parser,
@@ -210,13 +216,15 @@
   while (Used < Bytes.size() && !S.Complete && S.Error == ParseError::None) {
     S.Started = true;
     const std::string_view Rest = Bytes.substr(Used);
-    const std::size_t Checked =
-        S.Parser.type == HTTP_RESPONSE ? S.Syntax.check(Rest) : Rest.size();
+    const std::size_t Checked = S.Syntax.check(Rest);
     Used += S.parse(Rest.substr(0, Checked));
     if (S.Complete || S.Error != ParseError::None)
       break;
     if (S.Syntax.fault() != MessageFault::None)
       S.stop(S.Syntax.fault());
+    else if (S.Syntax.isHeaderComplete() != S.HeaderComplete)
+      // The library sees another end of the header section.
+      S.stop(MessageFault::LineEnd);
   }
   return Used;
 }
--- a/src/libs/http1/MessageParser.h
+++ b/src/libs/http1/MessageParser.h
@@ -12,10 +12,10 @@
 
 namespace rr {
 
-/// Incremental parser for one HTTP/1.1 message. Stricter than the parser
-/// library: rejects responses whose status line MessageSyntax does not accept,
-/// white space in header field names and requests without exactly one Host
-/// field, because proxies and servers interpret such messages differently.
+/// Incremental parser for one HTTP/1.1 message. Accepts less than the parser
+/// library: only what MessageSyntax lets pass, and requests with exactly one
+/// Host field, because proxies and servers interpret other messages
+/// differently.
 class MessageParser {
 public:
   enum class Kind { Request, Response };
--- a/src/libs/http1/MessageSyntax.cpp
+++ b/src/libs/http1/MessageSyntax.cpp
@@ -1,6 +1,7 @@
 #include "http1/MessageSyntax.h"
 
 #include <algorithm>
+#include <array>
 
 namespace rr {
 
@@ -8,23 +9,58 @@
 
 constexpr std::string_view VersionText = "HTTP/1.";
 constexpr std::size_t StatusDigits = 3;
-
 constexpr bool isDigit(char Byte) { return Byte >= '0' && Byte <= '9'; }
 
-/// Bytes of a reason phrase (RFC 9112, section 4).
-constexpr bool isText(char Byte) {
-  constexpr char Delete = 0x7F;
-  const auto Code = static_cast<unsigned char>(Byte);
-  return Byte == '\t' || (Code >= ' ' && Byte != Delete);
+constexpr bool isAlpha(char Byte) {
+  return (Byte >= 'a' && Byte <= 'z') || (Byte >= 'A' && Byte <= 'Z');
 }
 
-std::size_t textLength(std::string_view Bytes) {
-  const auto End = std::find_if_not(Bytes.begin(), Bytes.end(), isText);
+/// Bytes by their role in the grammar (RFC 9110, sections 5.5 and 5.6.2).
+struct ByteClasses {
+  std::array<bool, 256> Token{};
+  /// Of field values and reason phrases.
+  std::array<bool, 256> Text{};
+  /// Of request targets. Bytes above ASCII are not part of a URI, but callers
+  /// that send them unescaped are served.
+  std::array<bool, 256> Target{};
+};
+
+constexpr ByteClasses makeByteClasses() {
+  constexpr std::string_view Punctuation = "!#$%&'*+-.^_`|~";
+  constexpr unsigned Delete = 0x7F;
+  ByteClasses Classes;
+  for (unsigned Code = 0; Code < 256; ++Code) {
+    const char Byte = static_cast<char>(Code);
+    Classes.Token[Code] =
+        isDigit(Byte) || isAlpha(Byte) ||
+        (Code != 0 && Punctuation.find(Byte) != std::string_view::npos);
+    Classes.Target[Code] = Code > ' ' && Code != Delete;
+    Classes.Text[Code] = Classes.Target[Code] || Byte == ' ' || Byte == '\t';
+  }
+  return Classes;
+}
+
+constexpr ByteClasses Classes = makeByteClasses();
+
+bool contains(const std::array<bool, 256> &Set, char Byte) {
+  return Set[static_cast<unsigned char>(Byte)];
+}
+
+std::size_t prefixLength(const std::array<bool, 256> &Set,
+                         std::string_view Bytes) {
+  const auto End = std::find_if_not(Bytes.begin(), Bytes.end(), [&](char Byte) {
+    return contains(Set, Byte);
+  });
   return std::size_t(End - Bytes.begin());
 }
 
 } // namespace
 
+MessageSyntax::MessageSyntax(Start FirstLine)
+    : First(FirstLine),
+      Current(FirstLine == Start::StatusLine ? State::Version
+                                             : State::EmptyLines) {}
+
 bool MessageSyntax::enter(State Next) {
   this->Current = Next;
   this->Position = 0;
@@ -45,15 +81,36 @@
   while (Checked < Bytes.size() && this->Fault == MessageFault::None) {
     if (this->Current == State::Body)
       return Bytes.size();
-    if (this->Current == State::Reason)
-      Checked += textLength(Bytes.substr(Checked));
+    Checked += this->skip(Bytes.substr(Checked));
     if (Checked == Bytes.size() || !this->step(Bytes[Checked]))
       break;
     ++Checked;
+    if (this->Current == State::Body)
+      break;
   }
   return Checked;
 }
 
+std::size_t MessageSyntax::skip(std::string_view Bytes) {
+  switch (this->Current) {
+  case State::FieldName:
+    return prefixLength(Classes.Token, Bytes);
+  case State::Target:
+    return prefixLength(Classes.Target, Bytes);
+  case State::Reason:
+  case State::FieldValue:
+    return prefixLength(Classes.Text, Bytes);
+  default:
+    return 0;
+  }
+}
+
+bool MessageSyntax::step(char Byte) {
+  if (this->Current < State::FieldStart)
+    return this->stepStartLine(Byte);
+  return this->stepField(Byte);
+}
+
 bool MessageSyntax::checkVersion(char Byte) {
   const std::size_t At = this->Position++;
   if (At < VersionText.size()) {
@@ -75,13 +132,17 @@
   return ++this->Position < StatusDigits || this->enter(State::AfterStatusCode);
 }
 
-bool MessageSyntax::step(char Byte) {
+bool MessageSyntax::stepStartLine(char Byte) {
   switch (this->Current) {
   case State::Version:
     return this->checkVersion(Byte);
   case State::AfterVersion:
-    return this->expect(Byte == ' ', State::StatusCode,
-                        MessageFault::StartLine);
+    if (this->First == Start::StatusLine)
+      return this->expect(Byte == ' ', State::StatusCode,
+                          MessageFault::StartLine);
+    return this->expect(Byte == '\r', State::StartLineEnd,
+                        Byte == '\n' ? MessageFault::LineEnd
+                                     : MessageFault::StartLine);
   case State::StatusCode:
     return this->checkStatusCode(Byte);
   case State::AfterStatusCode:
@@ -94,8 +155,48 @@
     return this->expect(Byte == '\r', State::StartLineEnd,
                         Byte == '\n' ? MessageFault::LineEnd
                                      : MessageFault::StartLine);
+  case State::EmptyLines:
+    if (Byte == '\r')
+      return this->enter(State::EmptyLineEnd);
+    return this->expect(contains(Classes.Token, Byte), State::Method,
+                        MessageFault::StartLine);
+  case State::EmptyLineEnd:
+    return this->expect(Byte == '\n', State::EmptyLines, MessageFault::LineEnd);
+  case State::Method:
+    if (contains(Classes.Token, Byte))
+      return true;
+    return this->expect(Byte == ' ', State::TargetStart,
+                        MessageFault::StartLine);
+  case State::TargetStart:
+    return this->expect(contains(Classes.Target, Byte), State::Target,
+                        MessageFault::StartLine);
+  case State::Target:
+    return this->expect(Byte == ' ', State::Version, MessageFault::StartLine);
+  default:
+    return this->expect(Byte == '\n', State::FieldStart, MessageFault::LineEnd);
+  }
+}
+
+bool MessageSyntax::stepField(char Byte) {
+  switch (this->Current) {
+  case State::FieldStart:
+    if (Byte == '\r')
+      return this->enter(State::SectionEnd);
+    return this->expect(contains(Classes.Token, Byte), State::FieldName,
+                        MessageFault::FieldName);
+  case State::FieldName:
+    return this->expect(Byte == ':', State::FieldValue,
+                        MessageFault::FieldName);
+  case State::FieldValue:
+    return this->expect(Byte == '\r', State::FieldEnd,
+                        Byte == '\n' ? MessageFault::LineEnd
+                                     : MessageFault::FieldValue);
+  case State::FieldEnd:
+    return this->expect(Byte == '\n', State::FieldStart, MessageFault::LineEnd);
   default:
-    return this->expect(Byte == '\n', State::Body, MessageFault::LineEnd);
+    this->HeaderComplete = Byte == '\n';
+    return this->expect(this->HeaderComplete, State::Body,
+                        MessageFault::LineEnd);
   }
 }
 
--- a/src/libs/http1/tst_MalformedAnswers.cpp
+++ b/src/libs/http1/tst_MalformedAnswers.cpp
@@ -82,6 +82,12 @@
 const std::string Ok = "HTTP/1.1 200 OK\r\n";
 const std::string Rest = "Content-Length: 2\r\n\r\nab";
 
+bool isTokenByte(unsigned char Byte) {
+  return std::isalnum(Byte) ||
+         (Byte != 0 &&
+          std::string("!#$%&'*+-.^_`|~").find(char(Byte)) != std::string::npos);
+}
+
 } // namespace
 
 // Guards against answers whose status code is no status code: they were passed
@@ -112,6 +118,81 @@
   checkRefused("HTTP/1.1  200 OK\r\n" + Rest, MessageFault::StatusCode);
 }
 
+// Guards against answers in which a control byte in the name of a field ends
+// the header section for the parser, so that what follows is read as the body.
+TEST_CASE("An answer with a blank, control byte or delimiter in the name of a "
+          "field is refused",
+          "[malformed-answers]") {
+  for (unsigned Code = 0; Code < 256; ++Code) {
+    const auto Byte = static_cast<unsigned char>(Code);
+    // A colon ends the name, and CR LF the line.
+    if (isTokenByte(Byte) || Byte == ':')
+      continue;
+    const std::string Bad(1, static_cast<char>(Byte));
+    for (const std::string &Before :
+         {std::string(), "Id: 1\r\n" + Rest.substr(0, 19)}) {
+      for (const std::string &Name :
+           {Bad + "X", "X" + Bad + "Y", "X" + Bad, Bad, " " + Bad + "X"}) {
+        const std::string Text = Ok + Before + Name + ": y\r\n" + Rest;
+        CAPTURE(Code, Text);
+        for (std::size_t End = 0; End <= Text.size(); ++End) {
+          const Parsed Split = parse(Text, {End});
+          if (!Split.Complete && (Split.Fault == MessageFault::FieldName ||
+                                  Split.Fault == MessageFault::LineEnd))
+            continue;
+          CAPTURE(End);
+          CHECK_FALSE(Split.Complete);
+          CHECK(Split.Fault == MessageFault::FieldName);
+        }
+      }
+    }
+  }
+  for (const char *Line : {": y", "X", "X y", " ", "\t"})
+    checkRefused(Ok + Line + "\r\n" + Rest, MessageFault::FieldName);
+}
+
+// Guards against a line that continues the value of the field before it, which
+// a blank before the name of a field makes of it.
+TEST_CASE("An answer with a folded line is refused", "[malformed-answers]") {
+  for (const char *Fold : {" ", "\t", " X: y", "\tX: y"})
+    checkRefused(Ok + "A: b\r\n" + Fold + "\r\n" + Rest,
+                 MessageFault::FieldName);
+}
+
+// Guards against control bytes in values, which other programs may take for the
+// end of the line.
+TEST_CASE("An answer with a control byte in the value of a field is refused",
+          "[malformed-answers]") {
+  for (unsigned Code = 0; Code < 256; ++Code) {
+    const std::string Byte(1, static_cast<char>(Code));
+    if (Byte == "\t" || (Code >= ' ' && Code != 0x7F))
+      continue;
+    for (const std::string &Value :
+         {Byte, Byte + "y", "y" + Byte, "y" + Byte + "z"})
+      for (const char *Name : {"X", "Connection", "Upgrade"}) {
+        const Parsed Whole =
+            parse(Ok + Name + ": " + Value + "\r\n" + Rest, {});
+        CAPTURE(Code, Name, Value);
+        CHECK_FALSE(Whole.Complete);
+        CHECK((Whole.Fault == MessageFault::FieldValue ||
+               Whole.Fault == MessageFault::LineEnd));
+      }
+  }
+}
+
+// Guards against lines that end for this program and not for another one.
+TEST_CASE("An answer with a line that does not end with CR LF is refused",
+          "[malformed-answers]") {
+  for (const std::string &Text :
+       {"HTTP/1.1 200 OK\n" + Rest, "HTTP/1.1 200 OK\r" + Rest,
+        "HTTP/1.1 200\n" + Rest, "HTTP/1.1 200 OK\r\r\n" + Rest,
+        Ok + "X: y\n" + Rest, Ok + "X: y\rZ: y\r\n" + Rest,
+        Ok + "X: y\r\r\n" + Rest, Ok + "Content-Length: 2\r\n\rab",
+        Ok + "Content-Length: 2\r\n\r\rab"})
+    checkRefused(Text, MessageFault::LineEnd);
+  checkRefused(Ok + "Content-Length: 2\r\n\nab", MessageFault::FieldName);
+}
+
 // Guards against refusing what servers may send.
 TEST_CASE("Proper answers are read alike however their bytes are split",
           "[malformed-answers]") {
@@ -123,4 +204,10 @@
                   std::stoi(Status), "ab");
   checkAccepted("HTTP/1.0 200 OK\r\n\r\nab", 200, "ab");
   checkAccepted(Ok + "Connection: close\r\n\r\nab", 200, "ab");
+  checkAccepted(Ok + "X:\r\nY:z\r\n!#$%&'*+-.^_`|~: \xE4\t;\"\r\n" + Rest, 200,
+                "ab");
+  checkAccepted(Ok + "Content-Length: 02 \r\n\r\nab", 200, "ab");
+  const Parsed Trimmed = parse(Ok + "X: \t y z \t\r\n" + Rest);
+  REQUIRE(Trimmed.Complete);
+  CHECK(*findHeader(Trimmed.Message.Headers, "X") == "y z");
 }
--- a/src/libs/http1/tst_MessageParser.cpp
+++ b/src/libs/http1/tst_MessageParser.cpp
@@ -49,6 +49,22 @@
       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
       "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
       "nonsense\r\n\r\n",
+      "GET / HTTP/1.1\nHost: h\n\n",
+      "GET / HTTP/1.1\r\nHost: h\n\r\n",
+      "GET / HTTP/1.1\r\nHost: h\r\n\n",
+      "GET / HTTP/1.1\r\nHost: h\r\n\rX: y\r\n\r\n",
+      "GET / HTTP/1.1\r\nHost: h\r\nX: y\rZ: y\r\n\r\n",
+      "GET / HTTP/1.1\r\nHost: h\r\n\nX: y\r\n\r\n",
+      "GET / HTTP/1.1\r\nHost: h\r\nX: y\r\n Z: y\r\n\r\n",
+      "GET / HTTP/1.1\r\n Host: h\r\n\r\n",
+      "GET / HTTP/1.1\r\nHost: h\r\nX\x01: y\r\n\r\n",
+      "GET / HTTP/1.1\r\nHost: h\r\nX: \x01\r\n\r\n",
+      "\nGET / HTTP/1.1\r\nHost: h\r\n\r\n",
+      "GET  / HTTP/1.1\r\nHost: h\r\n\r\n",
+      "GET /  HTTP/1.1\r\nHost: h\r\n\r\n",
+      "GET / HTTP/1.1 \r\nHost: h\r\n\r\n",
+      "GET /a\tb HTTP/1.1\r\nHost: h\r\n\r\n",
+      "SOURCE / ICE/1.0\r\nHost: h\r\n\r\n",
   };
   for (const char *Request : Requests) {
     CAPTURE(Request);
@@ -56,6 +72,28 @@
   }
 }
 
+// Guards against refusing what callers may send.
+TEST_CASE("Proper requests are accepted", "[http1]") {
+  const char *const Requests[] = {
+      "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+      "GET / HTTP/1.0\r\nHost: h\r\n\r\n",
+      "\r\n\r\nGET / HTTP/1.1\r\nhost:h\r\nX:\r\n\r\n",
+      "GET /a%20b?c=d&e=[f]|\"#g HTTP/1.1\r\nHost: h \t\r\n\r\n",
+      "GET /\xC3\xA4 HTTP/1.1\r\nHost: h\r\nX: \xE4\t\r\n\r\n",
+      "OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2;a=b\r\nab\r\n0\r\nX: y\r\n\r\n",
+  };
+  for (const std::string Request : Requests)
+    for (std::size_t Split = 1; Split <= Request.size(); ++Split) {
+      CAPTURE(Request, Split);
+      MessageParser Parser(MessageParser::Kind::Request, {});
+      Parser.feed(Request.substr(0, Split));
+      Parser.feed(Request.substr(Split));
+      CHECK(Parser.isComplete());
+    }
+}
+
 TEST_CASE("Headers and bodies above the limits are distinguished", "[http1]") {
   const ParserLimits Limits{100, 10};
   CHECK(errorOf("GET / HTTP/1.1\r\nHost: h\r\nA: " + std::string(200, 'a') +
