Refuse messages with a transfer coding other than "chunked"

Callers got chunk sizes as part of the body when a server named a transfer coding such as "xchunked" or "chunked, chunked", and a body in gzip without being told so when it named "gzip, chunked".

Cause: the library reads a body that it does not take for chunked up to the end of the connection, and undoes only the last coding otherwise. The field is hop-by-hop and is not passed on, and nothing looked at its value. Requests with "gzip, chunked" were passed on in the same way.

Change: a message with a body and a Transfer-Encoding is accepted only if that is a single "chunked" and the library agrees that the body is chunked. No request of this program allows another coding (TE is not passed on), so no proper server sends one. In HTTP/1.0 the field makes the framing faulty (RFC 9112, section 6.1) and is refused too. Ambiguous lengths were refused already at all splits of the bytes; the test stays.

--- a/src/features/gateway/tst_MalformedAnswers.cpp
+++ b/src/features/gateway/tst_MalformedAnswers.cpp
@@ -127,6 +127,12 @@
     {"HTTP/1.1 200 OK\r\n@\nX: z\r\n" + Body, "field_name"},
     {"HTTP/1.1 200 OK\r\n@\rX: z\r\n" + Body, "line_end"},
     {"HTTP/1.1 200 OK\r\n@X: \x01z\r\n" + Body, "field_value"},
+    {"HTTP/1.1 200 OK\r\n@Transfer-Encoding: xchunked\r\n\r\n2\r\nab\r\n"
+     "0\r\n\r\n",
+     "transfer_coding"},
+    {"HTTP/1.1 200 OK\r\n@Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nab\r\n"
+     "0\r\n\r\n",
+     "transfer_coding"},
 };
 
 /// Two large instances and a standby of one zone, which share the tables and
--- a/src/libs/http1/MessageParser.cpp
+++ b/src/libs/http1/MessageParser.cpp
@@ -127,12 +127,31 @@
     } else {
       this->Message.Status = static_cast<int>(this->Parser.status_code);
     }
+    if (!this->NoBody && !this->hasKnownTransferCoding())
+      return this->stop(MessageFault::TransferCoding);
     const bool HasLength = (this->Parser.flags & F_CONTENTLENGTH) != 0;
     if (HasLength && this->Parser.content_length > this->Limits.MaxBodyBytes)
       return this->stop(ParseError::BodyTooLarge);
     return this->NoBody ? 1 : 0;
   }
 
+  /// Whether the message has no transfer coding, or a single "chunked". Others
+  /// cannot be decoded, and the fields that name them are not passed on. The
+  /// library reads a body that it does not take for chunked up to the end of
+  /// the connection.
+  bool hasKnownTransferCoding() const {
+    int Codings = 0;
+    for (const HttpHeader &Field : this->Message.Headers) {
+      if (!equalIgnoreCase(Field.Name, "Transfer-Encoding"))
+        continue;
+      // In HTTP/1.0 the field makes the framing faulty (RFC 9112, section 6.1).
+      if (++Codings > 1 || !equalIgnoreCase(Field.Value, "chunked") ||
+          this->Parser.http_minor == 0)
+        return false;
+    }
+    return Codings == 0 || (this->Parser.flags & F_CHUNKED) != 0;
+  }
+
   int onBody(const char *Data, std::size_t Length) {
     if (this->Message.Body.size() + Length > this->Limits.MaxBodyBytes)
       return this->stop(ParseError::BodyTooLarge);
--- a/src/libs/http1/MessageParser.h
+++ b/src/libs/http1/MessageParser.h
@@ -13,9 +13,9 @@
 namespace rr {
 
 /// Incremental parser for one HTTP/1.1 message. Accepts less than the parser
-/// library: only what MessageSyntax lets pass, and requests with exactly one
-/// Host field, because proxies and servers interpret other messages
-/// differently.
+/// library: only what MessageSyntax lets pass, requests with exactly one Host
+/// field, and no transfer coding but "chunked", because proxies and servers
+/// interpret other messages differently.
 class MessageParser {
 public:
   enum class Kind { Request, Response };
--- a/src/libs/http1/tst_MalformedAnswers.cpp
+++ b/src/libs/http1/tst_MalformedAnswers.cpp
@@ -193,6 +193,38 @@
   checkRefused(Ok + "Content-Length: 2\r\n\nab", MessageFault::FieldName);
 }
 
+// Guards against chunk sizes in the body, and against bodies in a coding that
+// the caller is not told of.
+TEST_CASE("An answer with a transfer coding other than a single \"chunked\" is "
+          "refused",
+          "[malformed-answers]") {
+  const std::string Chunks = "2\r\nab\r\n0\r\n\r\n";
+  for (const char *Coding :
+       {"xchunked", "chunkedx", "chunked, chunked", "gzip, chunked",
+        "chunked, gzip", "gzip", "identity", "identity, chunked", "",
+        "chunked;q=1", ",chunked", "chunked,", "\"chunked\"", "chun ked",
+        "chunked\r\nTransfer-Encoding: chunked",
+        "gzip\r\nTransfer-Encoding: chunked",
+        "chunked\r\nTransfer-Encoding: identity"})
+    checkRefused(Ok + "Transfer-Encoding: " + Coding + "\r\n\r\n" + Chunks,
+                 MessageFault::TransferCoding);
+  checkRefused("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Chunks,
+               MessageFault::TransferCoding);
+  checkAccepted(Ok + "transfer-encoding:  Chunked \r\n\r\n" + Chunks, 200,
+                "ab");
+}
+
+// Guards against answers whose end depends on the reader.
+TEST_CASE("An answer with an ambiguous length is refused",
+          "[malformed-answers]") {
+  for (const char *Length :
+       {"2\r\nContent-Length: 3", "2\r\nContent-Length: 2", "2, 2", "+2", "-2",
+        "0x2", "2 2", "", "2.0", "2;", "18446744073709551618",
+        "2\r\nTransfer-Encoding: chunked"})
+    checkRefused(Ok + "Content-Length: " + Length + "\r\n\r\nab",
+                 MessageFault::BodyLength);
+}
+
 // Guards against refusing what servers may send.
 TEST_CASE("Proper answers are read alike however their bytes are split",
           "[malformed-answers]") {
--- a/src/libs/http1/tst_MessageParser.cpp
+++ b/src/libs/http1/tst_MessageParser.cpp
@@ -65,6 +65,12 @@
       "GET / HTTP/1.1 \r\nHost: h\r\n\r\n",
       "GET /a\tb HTTP/1.1\r\nHost: h\r\n\r\n",
       "SOURCE / ICE/1.0\r\nHost: h\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n"
+      "\r\n0\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked, chunked\r\n"
+      "\r\n0\r\n\r\n",
+      "POST / HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+      "\r\n0\r\n\r\n",
   };
   for (const char *Request : Requests) {
     CAPTURE(Request);
