Refuse chunks whose end depends on the reader

Callers got an answer as whole whose chunk data was not followed by CRLF ("2 CRLF ab XX 0 CRLF CRLF"). Where the next chunk begins then is a matter of the reader: what was passed on as the answer need not be the server's. In requests the server behind may see another end of the message than this program, and take the rest for a request of its own.

Cause: the library as Debian builds it (non-strict) skips the two bytes after the data of a chunk, the byte after the CR of a chunk size, and anything after a blank behind the size. Trailer fields were not checked at all.

Change: MessageSyntax follows chunk sizes, data and trailer fields before the library reads them. Extensions and trailer fields are discarded, so their bytes are limited like a header section: small chunks with long extensions could go on until the deadline.

--- a/src/features/gateway/tst_MalformedAnswers.cpp
+++ b/src/features/gateway/tst_MalformedAnswers.cpp
@@ -133,6 +133,9 @@
     {"HTTP/1.1 200 OK\r\n@Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nab\r\n"
      "0\r\n\r\n",
      "transfer_coding"},
+    {"HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n2\r\nabXX"
+     "0\r\n\r\n",
+     "chunk"},
 };
 
 /// Two large instances and a standby of one zone, which share the tables and
--- a/src/libs/http1/MessageParser.cpp
+++ b/src/libs/http1/MessageParser.cpp
@@ -127,12 +127,16 @@
     } else {
       this->Message.Status = static_cast<int>(this->Parser.status_code);
     }
-    if (!this->NoBody && !this->hasKnownTransferCoding())
+    if (this->NoBody)
+      return 1;
+    if (!this->hasKnownTransferCoding())
       return this->stop(MessageFault::TransferCoding);
     const bool HasLength = (this->Parser.flags & F_CONTENTLENGTH) != 0;
     if (HasLength && this->Parser.content_length > this->Limits.MaxBodyBytes)
       return this->stop(ParseError::BodyTooLarge);
-    return this->NoBody ? 1 : 0;
+    if ((this->Parser.flags & F_CHUNKED) != 0)
+      this->Syntax.expectChunks();
+    return 0;
   }
 
   /// Whether the message has no transfer coding, or a single "chunked". Others
@@ -241,8 +245,10 @@
       break;
     if (S.Syntax.fault() != MessageFault::None)
       S.stop(S.Syntax.fault());
-    else if (S.Syntax.isHeaderComplete() != S.HeaderComplete)
-      // The library sees another end of the header section.
+    else if (S.Syntax.discardedBytes() > S.Limits.MaxHeaderBytes)
+      S.stop(ParseError::HeaderTooLarge);
+    else if (S.Syntax.isHeaderComplete() != S.HeaderComplete || Checked == 0)
+      // The library sees another end of the header section or of the message.
       S.stop(MessageFault::LineEnd);
   }
   return Used;
--- a/src/libs/http1/MessageSyntax.cpp
+++ b/src/libs/http1/MessageSyntax.cpp
@@ -9,6 +9,9 @@
 
 constexpr std::string_view VersionText = "HTTP/1.";
 constexpr std::size_t StatusDigits = 3;
+/// Above any body that is accepted; avoids an overflow of the size.
+constexpr std::uint64_t MaxChunkBytes = std::uint64_t{1} << 48;
+
 constexpr bool isDigit(char Byte) { return Byte >= '0' && Byte <= '9'; }
 
 constexpr bool isAlpha(char Byte) {
@@ -18,7 +21,7 @@
 /// Bytes by their role in the grammar (RFC 9110, sections 5.5 and 5.6.2).
 struct ByteClasses {
   std::array<bool, 256> Token{};
-  /// Of field values and reason phrases.
+  /// Of field values, reason phrases and chunk extensions.
   std::array<bool, 256> Text{};
   /// Of request targets. Bytes above ASCII are not part of a URI, but callers
   /// that send them unescaped are served.
@@ -54,6 +57,14 @@
   return std::size_t(End - Bytes.begin());
 }
 
+int hexDigit(char Byte) {
+  if (isDigit(Byte))
+    return Byte - '0';
+  if (Byte >= 'a' && Byte <= 'f')
+    return Byte - 'a' + 10;
+  return Byte >= 'A' && Byte <= 'F' ? Byte - 'A' + 10 : -1;
+}
+
 } // namespace
 
 MessageSyntax::MessageSyntax(Start FirstLine)
@@ -61,6 +72,8 @@
       Current(FirstLine == Start::StatusLine ? State::Version
                                              : State::EmptyLines) {}
 
+void MessageSyntax::expectChunks() { this->enter(State::ChunkSizeStart); }
+
 bool MessageSyntax::enter(State Next) {
   this->Current = Next;
   this->Position = 0;
@@ -81,7 +94,12 @@
   while (Checked < Bytes.size() && this->Fault == MessageFault::None) {
     if (this->Current == State::Body)
       return Bytes.size();
-    Checked += this->skip(Bytes.substr(Checked));
+    if (this->Current == State::End)
+      break;
+    const std::size_t Skipped = this->skip(Bytes.substr(Checked));
+    if (this->isDiscarding())
+      this->DiscardedBytes += Skipped + 1;
+    Checked += Skipped;
     if (Checked == Bytes.size() || !this->step(Bytes[Checked]))
       break;
     ++Checked;
@@ -91,6 +109,13 @@
   return Checked;
 }
 
+bool MessageSyntax::isDiscarding() const {
+  const bool IsField =
+      this->Current >= State::FieldStart && this->Current < State::SectionEnd;
+  return this->Current == State::ChunkExtension ||
+         (this->HeaderComplete && IsField);
+}
+
 std::size_t MessageSyntax::skip(std::string_view Bytes) {
   switch (this->Current) {
   case State::FieldName:
@@ -99,7 +124,16 @@
     return prefixLength(Classes.Target, Bytes);
   case State::Reason:
   case State::FieldValue:
+  case State::ChunkExtension:
     return prefixLength(Classes.Text, Bytes);
+  case State::ChunkData: {
+    const std::uint64_t Length =
+        std::min<std::uint64_t>(this->ChunkBytes, Bytes.size());
+    this->ChunkBytes -= Length;
+    if (this->ChunkBytes == 0)
+      this->enter(State::ChunkDataReturn);
+    return std::size_t(Length);
+  }
   default:
     return 0;
   }
@@ -108,7 +142,9 @@
 bool MessageSyntax::step(char Byte) {
   if (this->Current < State::FieldStart)
     return this->stepStartLine(Byte);
-  return this->stepField(Byte);
+  if (this->Current < State::ChunkSizeStart)
+    return this->stepField(Byte);
+  return this->stepChunk(Byte);
 }
 
 bool MessageSyntax::checkVersion(char Byte) {
@@ -194,9 +230,55 @@
   case State::FieldEnd:
     return this->expect(Byte == '\n', State::FieldStart, MessageFault::LineEnd);
   default:
-    this->HeaderComplete = Byte == '\n';
-    return this->expect(this->HeaderComplete, State::Body,
-                        MessageFault::LineEnd);
+    return Byte == '\n' ? this->endSection()
+                        : this->fail(MessageFault::LineEnd);
+  }
+}
+
+bool MessageSyntax::endSection() {
+  // A section after the body is that of the trailer fields.
+  const State Next = this->HeaderComplete ? State::End : State::Body;
+  this->HeaderComplete = true;
+  return this->enter(Next);
+}
+
+bool MessageSyntax::addChunkSizeDigit(char Byte) {
+  const int Digit = hexDigit(Byte);
+  if (Digit < 0 || this->ChunkBytes > MaxChunkBytes)
+    return this->fail(MessageFault::Chunk);
+  this->ChunkBytes = this->ChunkBytes * 16 + std::uint64_t(Digit);
+  return this->enter(State::ChunkSize);
+}
+
+bool MessageSyntax::stepChunk(char Byte) {
+  switch (this->Current) {
+  case State::ChunkSizeStart:
+    this->ChunkBytes = 0;
+    return this->addChunkSizeDigit(Byte);
+  case State::ChunkSize:
+    if (Byte == '\r')
+      return this->enter(State::ChunkSizeEnd);
+    [[fallthrough]];
+  case State::ChunkPadding:
+    if (Byte == ';')
+      return this->enter(State::ChunkExtension);
+    if (Byte == ' ' || Byte == '\t')
+      return this->enter(State::ChunkPadding);
+    return this->Current == State::ChunkSize ? this->addChunkSizeDigit(Byte)
+                                             : this->fail(MessageFault::Chunk);
+  case State::ChunkExtension:
+    return this->expect(Byte == '\r', State::ChunkSizeEnd, MessageFault::Chunk);
+  case State::ChunkSizeEnd:
+    // The last chunk, of size 0, is followed by the trailer fields.
+    return this->expect(Byte == '\n',
+                        this->ChunkBytes == 0 ? State::FieldStart
+                                              : State::ChunkData,
+                        MessageFault::Chunk);
+  case State::ChunkDataReturn:
+    return this->expect(Byte == '\r', State::ChunkDataEnd, MessageFault::Chunk);
+  default:
+    return this->expect(Byte == '\n', State::ChunkSizeStart,
+                        MessageFault::Chunk);
   }
 }
 
--- a/src/libs/http1/tst_MalformedAnswers.cpp
+++ b/src/libs/http1/tst_MalformedAnswers.cpp
@@ -225,6 +225,33 @@
                  MessageFault::BodyLength);
 }
 
+// Guards against a chunk whose end depends on the reader.
+TEST_CASE("An answer with a malformed chunk is refused",
+          "[malformed-answers]") {
+  const std::string Head = Ok + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string Last = "0\r\n\r\n";
+  for (const char *Chunk :
+       {"2\r\nabXX", "2\r\nab\n", "2\r\nab\rX", "2\r\nab", "2\r\nabc\r\n",
+        "2\nab\r\n", "2\rXab\r\n", " 2\r\nab\r\n", "2 \r\nab\r\n",
+        "0x2\r\nab\r\n", "+2\r\nab\r\n", "2 x\r\nab\r\n", "2;a\nb\r\nab\r\n",
+        "2;a\rb\r\nab\r\n", "2;\x01\r\nab\r\n", "\r\n", "g\r\nab\r\n",
+        "10000000000000002\r\nab\r\n", "2\r\nab\r\n\r\n"})
+    checkRefused(Head + Chunk + Last, MessageFault::Chunk);
+  checkRefused(Head + "2\r\nab\r\n0\n\n", MessageFault::Chunk);
+}
+
+// Guards against trailer fields that end the body elsewhere for another reader.
+TEST_CASE("An answer with a malformed trailer field is refused",
+          "[malformed-answers]") {
+  const std::string Head =
+      Ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n";
+  for (const char *Line : {"X : y", "X\x01: y", " X: y", "X"})
+    checkRefused(Head + Line + "\r\n\r\n", MessageFault::FieldName);
+  checkRefused(Head + "X: \x01\r\n\r\n", MessageFault::FieldValue);
+  checkRefused(Head + "X: y\nZ: y\r\n\r\n", MessageFault::LineEnd);
+  checkRefused(Head + "\rX", MessageFault::LineEnd);
+}
+
 // Guards against refusing what servers may send.
 TEST_CASE("Proper answers are read alike however their bytes are split",
           "[malformed-answers]") {
@@ -239,6 +266,10 @@
   checkAccepted(Ok + "X:\r\nY:z\r\n!#$%&'*+-.^_`|~: \xE4\t;\"\r\n" + Rest, 200,
                 "ab");
   checkAccepted(Ok + "Content-Length: 02 \r\n\r\nab", 200, "ab");
+  checkAccepted(Ok + "Transfer-Encoding: chunked\r\n\r\n"
+                     "01;a=\"b;c\"\r\na\r\nB ; x\r\nbcdefghijkl\r\n"
+                     "000\r\nX: y\r\nZ:\r\n\r\n",
+                200, "abcdefghijkl");
   const Parsed Trimmed = parse(Ok + "X: \t y z \t\r\n" + Rest);
   REQUIRE(Trimmed.Complete);
   CHECK(*findHeader(Trimmed.Message.Headers, "X") == "y z");
--- a/src/libs/http1/tst_MessageParser.cpp
+++ b/src/libs/http1/tst_MessageParser.cpp
@@ -71,6 +71,10 @@
       "\r\n0\r\n\r\n",
       "POST / HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
       "\r\n0\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+      "\r\n2\r\nabXX0\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+      "\r\n2 \r\nab\r\n0\r\n\r\n",
   };
   for (const char *Request : Requests) {
     CAPTURE(Request);
