End answers without a body at their header section

A server that answered 304 with the Content-Length of the body that it left out kept its caller waiting: the caller got 504 at its deadline. The first bytes of the next answer on such a connection would have become the body. After 101, which no request asks for, bytes of another protocol would have been read as the next answer.

Cause: the library takes a body from Content-Length or Transfer-Encoding whatever the status is, and MessageParser left it to that, except for HEAD.

Change: responses with 1xx, 204 and 304 have no body (RFC 9112, section 6.3), and 101 is refused.

--- a/src/features/gateway/tst_MalformedAnswers.cpp
+++ b/src/features/gateway/tst_MalformedAnswers.cpp
@@ -136,6 +136,7 @@
     {"HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n2\r\nabXX"
      "0\r\n\r\n",
      "chunk"},
+    {"HTTP/1.1 101 Switching Protocols\r\n@\r\n", "upgrade"},
 };
 
 /// Two large instances and a standby of one zone, which share the tables and
@@ -333,6 +334,8 @@
        "HTTP/1.1 204 No Content", "", ""},
       {"GET", "HTTP/1.1 304 Not Modified\r\n@\r\n", "HTTP/1.1 304 Not Modified",
        "", ""},
+      {"GET", "HTTP/1.1 304 Not Modified\r\n@Content-Length: 2\r\n\r\n",
+       "HTTP/1.1 304 Not Modified", "", ""},
   };
   for (const Proper &Item : Sent) {
     CAPTURE(Item.Bytes);
--- a/src/libs/http1/MessageFault.cpp
+++ b/src/libs/http1/MessageFault.cpp
@@ -24,6 +24,8 @@
     return "transfer_coding";
   case MessageFault::Chunk:
     return "chunk";
+  case MessageFault::Upgrade:
+    return "upgrade";
   case MessageFault::OtherRequest:
     return "other_request";
   case MessageFault::HeaderTooLarge:
--- a/src/libs/http1/MessageFault.h
+++ b/src/libs/http1/MessageFault.h
@@ -23,6 +23,8 @@
   /// A chunk size is missing or not a number, or its data is not followed by
   /// CRLF.
   Chunk,
+  /// A switch of protocols (101) that was not requested.
+  Upgrade,
   /// The response names another request.
   OtherRequest,
   HeaderTooLarge,
--- a/src/libs/http1/MessageParser.cpp
+++ b/src/libs/http1/MessageParser.cpp
@@ -11,6 +11,12 @@
 
 namespace {
 
+/// The responses to which the status code gives no body, whatever their fields
+/// say (RFC 9112, section 6.3).
+bool hasNoBody(int Status) {
+  return (Status >= 100 && Status < 200) || Status == 204 || Status == 304;
+}
+
 void trimTrailingWhitespace(std::string &Value) {
   Value.erase(Value.find_last_not_of(" \t") + 1);
 }
@@ -126,9 +132,12 @@
         return this->stop(ParseError::Malformed);
     } else {
       this->Message.Status = static_cast<int>(this->Parser.status_code);
+      // No request of this program asks for a switch of protocols.
+      if (this->Message.Status == HTTP_STATUS_SWITCHING_PROTOCOLS)
+        return this->stop(MessageFault::Upgrade);
+      if (this->NoBody || hasNoBody(this->Message.Status))
+        return 1;
     }
-    if (this->NoBody)
-      return 1;
     if (!this->hasKnownTransferCoding())
       return this->stop(MessageFault::TransferCoding);
     const bool HasLength = (this->Parser.flags & F_CONTENTLENGTH) != 0;
--- a/src/libs/http1/tst_MalformedAnswers.cpp
+++ b/src/libs/http1/tst_MalformedAnswers.cpp
@@ -252,6 +252,32 @@
   checkRefused(Head + "\rX", MessageFault::LineEnd);
 }
 
+// Guards against a switch of protocols that nobody asked for: what follows is
+// not HTTP.
+TEST_CASE("An answer that switches protocols is refused",
+          "[malformed-answers]") {
+  checkRefused("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"
+               "Connection: upgrade\r\n\r\n",
+               MessageFault::Upgrade);
+}
+
+// Guards against the bytes of the next answer in the body of one that has none,
+// and against waiting for a body that does not come.
+TEST_CASE("An answer that has no body by its status or request ends with its "
+          "header",
+          "[malformed-answers]") {
+  for (const char *Status : {"100", "103", "204", "304"})
+    for (const char *Fields :
+         {"", "Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n"}) {
+      const std::string Text =
+          std::string("HTTP/1.1 ") + Status + " Reason\r\n" + Fields + "\r\n";
+      checkAccepted(Text, std::stoi(Status), "");
+      CHECK(parse(Text + "HTTP/1.1 200 OK\r\n").Used == Text.size());
+    }
+  checkAccepted(Ok + "Content-Length: 2\r\n\r\n", 200, "", true);
+  checkAccepted(Ok + "Transfer-Encoding: chunked\r\n\r\n", 200, "", true);
+}
+
 // Guards against refusing what servers may send.
 TEST_CASE("Proper answers are read alike however their bytes are split",
           "[malformed-answers]") {
