Leave memory to other answers while answers stall

Here the process kept within its memory, but answers that stall after many bytes, and neither end nor go on, held the whole budget for bodies until their deadlines. Every answer of a working server with a body was given up meanwhile: callers got 502 for requests that had run.

Cause: one answer could hold up to half of the budget, and nothing related what an answer holds to what is left. Whoever asked for memory next was refused, however little it held.

Change: the body of an answer may hold at most as many bytes as it leaves free (a dynamic threshold). N answers that stall leave 1/(N+1) of the budget, and an answer is refused only if it holds more than that. One answer alone may hold half, as before. Bodies of requests keep their limits.

Weighed: a fixed share for each answer refuses large answers on an idle instance; giving up the largest answer in favour of a new one needs a way to abort it from outside, and lets small answers end a large one that is nearly complete.

Evidence: 60 requests at once to 12 servers that stall after 80 kB to 3.2 MB and two that work, then 30 more, with a budget of 8 MiB. With the change all are delivered.

"A message keeps its reservation until its last copy is destroyed" held more than half of its budget in one answer, which is refused now; its budget is 2,000 in place of 1,000 bytes, and its checks are the same.

--- a/src/features/gateway/tst_EndlessServers.cpp
+++ b/src/features/gateway/tst_EndlessServers.cpp
@@ -133,3 +133,28 @@
   const std::size_t After = ::mallinfo2().uordblks;
   CHECK((After < Before || After - Before < Budget.capacity() / 4));
 }
+
+// Guards against answers of working servers that fail because answers that
+// neither end nor go on hold the memory until their deadline.
+TEST_CASE("Answers that stall after many bytes leave memory for other answers",
+          "[endless]") {
+  EndlessAnswer Sent{"stalled body",
+                     "HTTP/1.1 200 OK\r\nId: 1\r\nStamp: s\r\n\r\n",
+                     std::string(4000, 'x')};
+  Sent.MaxPieces = GENERATE(20U, 30U, 34U, 36U, 40U, 50U, 100U, 300U, 800U);
+  CAPTURE(Sent.MaxPieces);
+  EndlessBed B(Sent);
+  for (int Round = 0; Round < 4; ++Round) {
+    const auto Stalled = B.send(60);
+    B.advance(200ms);
+    const std::size_t Before = B.arrivals();
+    const auto Answers = B.collect(B.send(30));
+    const auto Whole =
+        std::count(Answers.begin(), Answers.end(), EndlessBed::wholeAnswer());
+    CHECK(std::size_t(Whole) == B.arrivals() - Before);
+    CHECK(Whole > 0);
+    CHECK(B.MostReserved <= B.Instance->state().BodyBytes->capacity());
+    B.advance(15s);
+  }
+  CHECK(B.Instance->state().BodyBytes->usedBytes() == 0);
+}
--- a/src/libs/http1/ByteBudget.h
+++ b/src/libs/http1/ByteBudget.h
@@ -31,6 +31,8 @@
       return true;
     }
 
+    std::size_t bytes() const { return this->ReservedBytes; }
+
     /// Changes the reservation to \p Bytes. Growing fails like tryReserve().
     bool tryResize(std::size_t Bytes, std::size_t KeepFree = 0) {
       if (Bytes > this->ReservedBytes)
--- a/src/libs/http1/MessageParser.cpp
+++ b/src/libs/http1/MessageParser.cpp
@@ -96,6 +96,17 @@
     return 0;
   }
 
+  /// What the budget must have left after \p Length more bytes of the body. A
+  /// response may hold at most as much as it leaves to others, so that
+  /// responses that do not end, however many, never use up the memory.
+  std::size_t bytesLeftFree(std::size_t Length) const {
+    const std::size_t Kept = this->Limits.BodyBudget->headerReserve();
+    if (this->Parser.type == HTTP_REQUEST)
+      return Kept;
+    const std::size_t Held = this->Reservation ? this->Reservation->bytes() : 0;
+    return Kept + Held + Length;
+  }
+
   int onField(const char *Data, std::size_t Length) {
     if (this->HeaderComplete)
       return 0; // Trailer fields are ignored.
@@ -169,7 +180,7 @@
     if (this->Message.Body.size() + Length > this->Limits.MaxBodyBytes)
       return this->stop(ParseError::BodyTooLarge);
     if (this->Limits.BodyBudget &&
-        this->reserve(Length, this->Limits.BodyBudget->headerReserve()) != 0)
+        this->reserve(Length, this->bytesLeftFree(Length)) != 0)
       return 1;
     this->Message.Body.append(Data, Length);
     return 0;
--- a/src/libs/http1/tst_EndlessAnswers.cpp
+++ b/src/libs/http1/tst_EndlessAnswers.cpp
@@ -59,7 +59,7 @@
 // Guards against reserved memory that is never released.
 TEST_CASE("A message keeps its reservation until its last copy is destroyed",
           "[http1]") {
-  const auto Budget = std::make_shared<ByteBudget>(1000);
+  const auto Budget = std::make_shared<ByteBudget>(2000);
   const std::string Text =
       "HTTP/1.1 200 OK\r\nContent-Length: 600\r\n\r\n" + std::string(600, 'x');
   {
