Bound the figures that servers send with their answers

A faulty server may announce an idle timeout or a load with a number that is too large. The products and sums of such numbers overflow: a connection then counted as expired and a new one was opened for the next request, and the sum of two loads of 2,147,483,647 is undefined.

Cause: idleTimeoutOf() multiplied whatever std::from_chars() read, and reportedLoad() read with sscanf(), whose result is undefined out of range.

Change: an announced idle timeout counts as an hour at most, and a load with a figure above 1,000,000 or below 0 is ignored.

--- a/src/features/gateway/AttemptResult.cpp
+++ b/src/features/gateway/AttemptResult.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
-#include <cstdio>
 #include <string_view>
 
 namespace rr {
@@ -18,6 +17,28 @@
 constexpr double MinWorkPercent = 10;
 constexpr double MaxWorkPercent = 2000;
 
+/// Requests or slots of one server; a larger figure is nonsense, and the sum of
+/// two of them overflows.
+constexpr int MaxReportedCount = 1'000'000;
+
+/// Reads a whole number, which blanks may precede, from the start of \p Rest.
+bool readCount(std::string_view &Rest, int &Count) {
+  Rest.remove_prefix(std::min(Rest.find_first_not_of(" \t"), Rest.size()));
+  const char *const End = Rest.data() + Rest.size();
+  const auto Read = std::from_chars(Rest.data(), End, Count);
+  if (Read.ec != std::errc() || Count < 0 || Count > MaxReportedCount)
+    return false;
+  Rest.remove_prefix(std::size_t(Read.ptr - Rest.data()));
+  return true;
+}
+
+bool skipComma(std::string_view &Rest) {
+  if (Rest.empty() || Rest.front() != ',')
+    return false;
+  Rest.remove_prefix(1);
+  return true;
+}
+
 /// The fourth figure of a load; \p Rest follows the third. Empty if there is
 /// none or it makes no sense.
 std::optional<double> reportedWorkFactor(std::string_view Rest) {
@@ -95,15 +116,15 @@
 std::optional<LoadSample> reportedLoad(const HttpMessage &Answer,
                                        const GatewayHeaders &Names) {
   const std::string *Field = findHeader(Answer.Headers, Names.Load);
-  LoadSample Sample;
-  int Length = 0;
-  if (!Field || std::sscanf(Field->c_str(), "%d,%d,%d%n", &Sample.Running,
-                            &Sample.Waiting, &Sample.Slots, &Length) != 3)
+  if (!Field)
     return std::nullopt;
-  if (Sample.Running < 0 || Sample.Waiting < 0)
+  LoadSample Sample;
+  std::string_view Rest = *Field;
+  if (!readCount(Rest, Sample.Running) || !skipComma(Rest) ||
+      !readCount(Rest, Sample.Waiting) || !skipComma(Rest) ||
+      !readCount(Rest, Sample.Slots))
     return std::nullopt;
-  Sample.WorkFactor =
-      reportedWorkFactor(std::string_view(*Field).substr(std::size_t(Length)));
+  Sample.WorkFactor = reportedWorkFactor(Rest);
   return Sample;
 }
 
--- a/src/features/gateway/tst_AttemptResult.cpp
+++ b/src/features/gateway/tst_AttemptResult.cpp
@@ -65,6 +65,15 @@
   CHECK_FALSE(loadFrom("-3,1,5,100"));
 }
 
+// Guards against figures that overflow when they are added up.
+TEST_CASE("A load with a figure out of range is ignored", "[load]") {
+  CHECK(loadFrom("1000000, 0,\t5"));
+  for (const char *Value : {"2147483647,2147483647,5", "1000001,0,5",
+                            "0,99999999999,5", "3,1,18446744073709551616",
+                            "3,1,-5", "3 ,1,5", "3;1;5", ",1,5", "1e3,1,5", ""})
+    CHECK_FALSE(loadFrom(Value));
+}
+
 TEST_CASE("The settings say which services are placed by cost", "[settings]") {
   CHECK(settingFrom("") == PlaceByCost::Auto);
   CHECK(settingFrom("[placement]\nby_cost=\"auto\"\n") == PlaceByCost::Auto);
--- a/src/libs/http1/HttpConnection.cpp
+++ b/src/libs/http1/HttpConnection.cpp
@@ -13,6 +13,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -25,6 +26,8 @@
 constexpr std::size_t ReadBufferBytes = 4096;
 /// Assumed when the server does not announce its idle timeout.
 constexpr Clock::duration DefaultIdleTimeout = std::chrono::seconds(4);
+/// Longer announced idle timeouts count as this; larger numbers overflow.
+constexpr long MaxIdleSeconds = 3600;
 /// Responses to other requests that are skipped before the connection is
 /// considered broken.
 constexpr int MaxSkippedResponses = 3;
@@ -59,7 +62,8 @@
   long Seconds = 0;
   std::from_chars(Field->data() + At + 8, Field->data() + Field->size(),
                   Seconds);
-  return std::chrono::milliseconds(Seconds * 800);
+  return std::chrono::milliseconds(std::clamp(Seconds, 0L, MaxIdleSeconds) *
+                                   800);
 }
 
 } // namespace
--- a/src/libs/http1/tst_HttpConnectionPool.cpp
+++ b/src/libs/http1/tst_HttpConnectionPool.cpp
@@ -261,3 +261,17 @@
   else
     CHECK(Bed.Server.SessionError == asio::error::eof);
 }
+
+// Guards against a number that overflows, after which a connection counts as
+// expired or never expires.
+TEST_CASE("Any announced idle timeout is accepted", "[http1]") {
+  PoolBed Bed;
+  for (const char *Timeout :
+       {"99999999999", "11529215046068469", "9223372036854775807"})
+    Bed.Server.Answers.push_back(
+        "HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=" +
+        std::string(Timeout) + "\r\nContent-Length: 0\r\n\r\n");
+  for (int Call = 0; Call < 3; ++Call)
+    CHECK_FALSE(Bed.call().Error);
+  CHECK(Bed.Server.Connections == 1);
+}
