Refuse answers that libcurl accepts beyond the grammar

`serve` passed on answers in whose head the name of a field held a blank or a control byte, with that line, and for CR or LF with a body that began inside the header. It also passed on 600 and HTTP/2.0. The store's client reads with the same library.

Cause: libcurl accepts more than the grammar of RFC 9112, though other things than http_parser does: 000, 099 and 20 were refused already. HttpClient took what it got, and added trailer fields to the header section.

Change: Transfer checks each line of the header section with MessageSyntax as libcurl delivers it, and the fields for the length with framingFault(), which MessageParser uses too. A fault ends the transfer, which closes the connection, as Errc::Malformed. For a commit that means "may have been executed". Trailer fields are left out. Chunks are read by libcurl alone: it requires the end of each chunk's data, and accepts LF for CR LF and text after a size, neither of which changes the body.

The links between instances need no change, by reading: the answer to their handshake carries no data, a peer has to prove that it knows the secret (tst_PeerFaults), and messages are checked by CborScan.

--- a/src/features/forwarding/ServerAttempt.cpp
+++ b/src/features/forwarding/ServerAttempt.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Errc.h"
 #include "httpclient/HttpClient.h"
+#include "logging/EventLog.h"
 #include "model/BackendServer.h"
 #include "telemetry/SpanExporter.h"
 
@@ -49,6 +50,8 @@
     return "answer_too_large";
   if (Result.Error == Errc::Cancelled)
     return "cancelled";
+  if (Result.Error == Errc::Malformed)
+    return "answer_malformed";
   return "connection_lost";
 }
 
@@ -80,6 +83,11 @@
   }
   Span.fail();
   Result.Reason = failureReason(Response);
+  if (Response.Fault != MessageFault::None)
+    logEvent(Event::AnswerMalformed,
+             {{"request", formatTraceParent(Request.Trace)},
+              {"server", Server.Name},
+              {"reason", messageFaultName(Response.Fault)}});
   Result.Outcome =
       Response.MayHaveBeenSent ? Execution::Unknown : Execution::NotRun;
   Result.ConnectionEnded =
--- a/src/libs/http1/MessageParser.cpp
+++ b/src/libs/http1/MessageParser.cpp
@@ -1,6 +1,7 @@
 #include "http1/MessageParser.h"
 
 #include "http1/ByteBudget.h"
+#include "http1/MessageFraming.h"
 #include "http1/MessageSyntax.h"
 
 #include <http_parser.h>
@@ -11,12 +12,6 @@
 
 namespace {
 
-/// The responses to which the status code gives no body, whatever their fields
-/// say (RFC 9112, section 6.3).
-bool hasNoBody(int Status) {
-  return (Status >= 100 && Status < 200) || Status == 204 || Status == 304;
-}
-
 void trimTrailingWhitespace(std::string &Value) {
   Value.erase(Value.find_last_not_of(" \t") + 1);
 }
@@ -146,36 +141,26 @@
       // No request of this program asks for a switch of protocols.
       if (this->Message.Status == HTTP_STATUS_SWITCHING_PROTOCOLS)
         return this->stop(MessageFault::Upgrade);
-      if (this->NoBody || hasNoBody(this->Message.Status))
+      if (this->NoBody || isBodyless(this->Message.Status))
         return 1;
     }
-    if (!this->hasKnownTransferCoding())
+    const bool Chunked = (this->Parser.flags & F_CHUNKED) != 0;
+    if (const MessageFault Found = framingFault(this->Message.Headers);
+        Found != MessageFault::None)
+      return this->stop(Found);
+    // The library reads a body that it does not take for chunked up to the end
+    // of the connection. In HTTP/1.0 the coding makes the framing faulty.
+    if (findHeader(this->Message.Headers, "Transfer-Encoding") &&
+        (!Chunked || this->Parser.http_minor == 0))
       return this->stop(MessageFault::TransferCoding);
     const bool HasLength = (this->Parser.flags & F_CONTENTLENGTH) != 0;
     if (HasLength && this->Parser.content_length > this->Limits.MaxBodyBytes)
       return this->stop(ParseError::BodyTooLarge);
-    if ((this->Parser.flags & F_CHUNKED) != 0)
+    if (Chunked)
       this->Syntax.expectChunks();
     return 0;
   }
 
-  /// Whether the message has no transfer coding, or a single "chunked". Others
-  /// cannot be decoded, and the fields that name them are not passed on. The
-  /// library reads a body that it does not take for chunked up to the end of
-  /// the connection.
-  bool hasKnownTransferCoding() const {
-    int Codings = 0;
-    for (const HttpHeader &Field : this->Message.Headers) {
-      if (!equalIgnoreCase(Field.Name, "Transfer-Encoding"))
-        continue;
-      // In HTTP/1.0 the field makes the framing faulty (RFC 9112, section 6.1).
-      if (++Codings > 1 || !equalIgnoreCase(Field.Value, "chunked") ||
-          this->Parser.http_minor == 0)
-        return false;
-    }
-    return Codings == 0 || (this->Parser.flags & F_CHUNKED) != 0;
-  }
-
   int onBody(const char *Data, std::size_t Length) {
     if (this->Message.Body.size() + Length > this->Limits.MaxBodyBytes)
       return this->stop(ParseError::BodyTooLarge);
--- a/src/libs/httpclient/HttpResult.h
+++ b/src/libs/httpclient/HttpResult.h
@@ -2,6 +2,7 @@
 #define REDWINGRACK_HTTPCLIENT_HTTPRESULT_H
 
 #include "base/HttpHeader.h"
+#include "http1/MessageFault.h"
 
 #include <string>
 #include <system_error>
@@ -12,6 +13,9 @@
 struct HttpResult {
   /// Set if no complete response was received.
   std::error_code Error;
+  /// What is wrong with the bytes of the server, with Errc::Malformed; None if
+  /// only libcurl found them malformed.
+  MessageFault Fault = MessageFault::None;
   int Status = 0;
   HttpHeaders Headers;
   std::string Body;
--- a/src/libs/httpclient/Transfer.cpp
+++ b/src/libs/httpclient/Transfer.cpp
@@ -1,6 +1,7 @@
 #include "httpclient/Transfer.h"
 
 #include "base/Errc.h"
+#include "http1/MessageFraming.h"
 
 #include <algorithm>
 #include <utility>
@@ -143,17 +144,38 @@
 std::size_t Transfer::onHeader(char *Data, std::size_t Size, std::size_t Count,
                                void *Self) {
   auto *This = static_cast<Transfer *>(Self);
-  const std::string Line(Data, Size * Count);
-  This->Result.ResponseStarted = true;
-  if (Line.compare(0, 5, "HTTP/") == 0) {
-    This->Result.Headers.clear();
-    return Size * Count;
+  // libcurl ends the transfer if fewer bytes are taken.
+  return This->readHeaderLine({Data, Size * Count}) ? Size * Count : 0;
+}
+
+bool Transfer::readHeaderLine(std::string_view Line) {
+  this->Result.ResponseStarted = true;
+  const bool Starts = Line.compare(0, 5, "HTTP/") == 0;
+  if (Starts) {
+    this->Syntax = MessageSyntax(MessageSyntax::Start::StatusLine);
+    this->Result.Headers.clear();
   }
-  const auto Colon = Line.find(':');
-  if (Colon != std::string::npos)
-    This->Result.Headers.push_back(
-        {trimmed(Line.substr(0, Colon)), trimmed(Line.substr(Colon + 1))});
-  return Size * Count;
+  // Trailer fields are not part of the header section.
+  if (this->Syntax.isHeaderComplete())
+    return true;
+  this->Syntax.check(Line);
+  this->Result.Fault = this->Syntax.fault();
+  if (const auto Colon = Line.find(':');
+      !Starts && Colon != std::string_view::npos)
+    this->Result.Headers.push_back(
+        {std::string(Line.substr(0, Colon)),
+         trimmed(std::string(Line.substr(Colon + 1)))});
+  if (this->Syntax.isHeaderComplete())
+    this->Result.Fault = this->checkHeader();
+  return this->Result.Fault == MessageFault::None;
+}
+
+MessageFault Transfer::checkHeader() const {
+  long Status = 0;
+  curl_easy_getinfo(this->Easy, CURLINFO_RESPONSE_CODE, &Status);
+  const bool HasBody =
+      this->Request.Method != "HEAD" && !isBodyless(static_cast<int>(Status));
+  return HasBody ? framingFault(this->Result.Headers) : MessageFault::None;
 }
 
 std::size_t Transfer::onBody(char *Data, std::size_t Size, std::size_t Count,
@@ -172,8 +194,11 @@
   long Status = 0;
   curl_easy_getinfo(this->Easy, CURLINFO_RESPONSE_CODE, &Status);
   this->Result.Status = static_cast<int>(Status);
-  this->finish(this->ResponseTooLarge ? make_error_code(Errc::TooLarge)
-                                      : toError(Code));
+  if (this->Result.Fault != MessageFault::None)
+    this->finish(make_error_code(Errc::Malformed));
+  else
+    this->finish(this->ResponseTooLarge ? make_error_code(Errc::TooLarge)
+                                        : toError(Code));
 }
 
 void Transfer::finish(std::error_code Error) {
--- a/src/libs/httpclient/Transfer.h
+++ b/src/libs/httpclient/Transfer.h
@@ -3,11 +3,13 @@
 
 #include "base/Clock.h"
 #include "base/OneShotEvent.h"
+#include "http1/MessageSyntax.h"
 #include "httpclient/HttpRequest.h"
 #include "httpclient/HttpResult.h"
 
 #include <curl/curl.h>
 #include <string>
+#include <string_view>
 
 namespace rr {
 
@@ -40,6 +42,10 @@
                              int PeerPort, int LocalPort);
   static std::size_t onHeader(char *Data, std::size_t Size, std::size_t Count,
                               void *Self);
+  /// Returns false if the response is malformed up to this line.
+  bool readHeaderLine(std::string_view Line);
+  /// Checks the framing of a response whose header is complete.
+  MessageFault checkHeader() const;
   static std::size_t onBody(char *Data, std::size_t Size, std::size_t Count,
                             void *Self);
 
@@ -47,6 +53,8 @@
   HttpResult Result;
   CURL *Easy = nullptr;
   curl_slist *HeaderList = nullptr;
+  /// Of the current response, final or interim; libcurl accepts more.
+  MessageSyntax Syntax{MessageSyntax::Start::StatusLine};
   bool ResponseTooLarge = false;
 };
 
