Use no entry of a server whose address cannot be connected to

Report of another operator: one odd entry among those of the servers, nested deeply, with a number too large or a port out of range, ended the machines that read the list. Here no entry ended the process or kept the others from being followed, but one with a bad address or port was taken for a server: requests were sent to it, and callers got 503 when three such attempts had failed, although a working server had room.

Cause: the address was parsed only when a connection was opened. Until then the entry was an idle server like any other.

An entry that becomes odd names no server from then on.

--- a/src/features/gateway/BackendRegistry.cpp
+++ b/src/features/gateway/BackendRegistry.cpp
@@ -1,5 +1,6 @@
 #include "gateway/BackendRegistry.h"
 
+#include "http1/Endpoint.h"
 #include "logging/EventLog.h"
 
 namespace rr {
@@ -34,7 +35,8 @@
     return;
   }
   const auto Record = this->Codec.DecodeBackend(Row);
-  if (!Record) {
+  // A server that cannot be reached would be chosen like one that is idle.
+  if (!Record || !parseEndpoint(Record->Address)) {
     if (this->IgnoredKeys.insert(Row.Key).second)
       logEvent(Event::BackendEntryIgnored, {{"key", Row.Key}});
     this->remove(Row.Key, false);
