Reject times and numbers out of range in rows and messages

An instance row with an address of another form counted as an instance, to be named to callers.

Rows of instances need addresses of the form IP:PORT, or none.

--- a/src/features/gateway/LoadMessages.cpp
+++ b/src/features/gateway/LoadMessages.cpp
@@ -4,10 +4,23 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
+
 namespace rr {
 
 using nlohmann::json;
 
+namespace {
+
+/// A time in nanoseconds. Larger ones overflow when they are added up.
+bool isTime(const json &Value) {
+  constexpr double MaxNanoseconds = 1e18;
+  return Value.is_number_integer() &&
+         std::abs(Value.get<double>()) <= MaxNanoseconds;
+}
+
+} // namespace
+
 std::string encodeLoadNotice(const LoadNotice &Notice) {
   json Value = json::array(
       {Notice.Name, Notice.Incarnation, Notice.Region, Notice.MadeAt.count()});
@@ -28,7 +41,7 @@
                     {},
                     {}};
   for (std::size_t Index = 3; Index < Value->size(); ++Index)
-    if (!(*Value)[Index].is_number_integer())
+    if (!isTime((*Value)[Index]))
       return failure(Errc::Malformed);
   Notice.MadeAt = Clock::duration((*Value)[3].get<Clock::rep>());
   if (Value->size() == 5)
--- a/src/features/gateway/MemberCodec.cpp
+++ b/src/features/gateway/MemberCodec.cpp
@@ -1,5 +1,8 @@
 #include "gateway/MemberCodec.h"
 
+#include "base/JsonSeconds.h"
+#include "settings/SocketAddress.h"
+
 #include <nlohmann/json.hpp>
 
 namespace rr {
@@ -8,33 +11,45 @@
 
 namespace {
 
-Clock::duration secondsAt(const json &Value, const char *Key) {
-  return std::chrono::duration_cast<Clock::duration>(
-      std::chrono::duration<double>(Value.at(Key).get<double>()));
+bool isAddressOrEmpty(const std::string &Text) {
+  SocketAddress Ignored;
+  return Text.empty() || parseAddress(Text, Ignored);
+}
+
+/// Whether the addresses can be given to callers and connected to.
+bool hasValidAddresses(const MemberRecord &Record) {
+  return isAddressOrEmpty(Record.Address) &&
+         isAddressOrEmpty(Record.LookupAddress) &&
+         isAddressOrEmpty(Record.PeerAddress);
 }
 
-ServerLimitReport decodeLimit(const json &Value) {
-  ServerLimitReport Report;
-  Report.SaidAt = secondsAt(Value, "said_at");
+bool readLimit(const json &Value, ServerLimitReport &Report) {
+  if (!readSeconds(Value, "said_at", Report.SaidAt))
+    return false;
   if (Value.contains("per_s"))
     Report.RequestsPerSecond = Value.at("per_s").get<double>();
-  return Report;
+  return !Report.RequestsPerSecond || *Report.RequestsPerSecond >= 0;
 }
 
 /// Reads fields that earlier versions of the program do not write. Rows of such
-/// instances must be accepted during a rolling upgrade.
-void readOptionalFields(const json &Value, MemberRecord &Record) {
+/// instances must be accepted during a rolling upgrade. Returns false if one
+/// has no valid value.
+bool readOptionalFields(const json &Value, MemberRecord &Record) {
   Record.PeerAddress = Value.value("peers", "");
   Record.Joining = Value.value("joining", false);
   Record.Sequence = Value.value("sequence", std::uint64_t{0});
   Record.Configuration = Value.value("configuration", std::uint64_t{0});
-  if (Value.contains("contact_since"))
-    Record.StoreContactSince = secondsAt(Value, "contact_since");
-  if (Value.contains("distressed"))
-    Record.Distressed = secondsAt(Value, "distressed");
+  if (Value.contains("contact_since") &&
+      !readSeconds(Value, "contact_since", Record.StoreContactSince))
+    return false;
+  if (Value.contains("distressed") &&
+      !readSeconds(Value, "distressed", Record.Distressed.emplace()))
+    return false;
   if (Value.contains("server_limits"))
     for (const auto &[Id, Report] : Value.at("server_limits").items())
-      Record.ServerLimits[Id] = decodeLimit(Report);
+      if (!readLimit(Report, Record.ServerLimits[Id]))
+        return false;
+  return true;
 }
 
 json encodeLimits(const std::map<std::string, ServerLimitReport> &Limits) {
@@ -93,11 +108,12 @@
     Value.at("lookups").get_to(Record.LookupAddress);
     Value.at("capacity").get_to(Record.Capacity);
     Value.at("standby").get_to(Record.Standby);
-    Record.WrittenAt = secondsAt(Value, "written_at");
     Value.at("leaving").get_to(Record.Leaving);
     Value.at("demand").get_to(Record.Demand);
     Value.at("rollouts").get_to(Record.Rollouts);
-    readOptionalFields(Value, Record);
+    if (!readSeconds(Value, "written_at", Record.WrittenAt) ||
+        !readOptionalFields(Value, Record) || !hasValidAddresses(Record))
+      return failure(Errc::Malformed);
     return Record;
   } catch (const json::exception &) {
     return failure(Errc::Malformed);
--- a/src/features/gateway/SuspectRow.cpp
+++ b/src/features/gateway/SuspectRow.cpp
@@ -1,5 +1,6 @@
 #include "gateway/SuspectRow.h"
 
+#include "base/JsonSeconds.h"
 #include "quarantine/Fingerprint.h"
 
 #include <nlohmann/json.hpp>
@@ -18,11 +19,6 @@
   return std::chrono::duration<double>(Time).count();
 }
 
-Clock::duration secondsAt(const json &Value, const char *Key) {
-  return std::chrono::duration_cast<Clock::duration>(
-      std::chrono::duration<double>(Value.at(Key).get<double>()));
-}
-
 std::string keyOf(const CrashObservation &Observation) {
   return Prefix + Observation.Fingerprint + "/" + Observation.ServerRun;
 }
@@ -63,13 +59,10 @@
   const json Value = json::parse(Row.Value, nullptr, false);
   if (!Value.is_object())
     return failure(Errc::Malformed);
-  try {
-    Observation.SentAt = secondsAt(Value, "sent_at");
-    Observation.LostAt = secondsAt(Value, "lost_at");
-    return Observation;
-  } catch (const json::exception &) {
+  if (!readSeconds(Value, "sent_at", Observation.SentAt) ||
+      !readSeconds(Value, "lost_at", Observation.LostAt))
     return failure(Errc::Malformed);
-  }
+  return Observation;
 }
 
 } // namespace rr
--- a/src/features/gateway/tst_Overload.cpp
+++ b/src/features/gateway/tst_Overload.cpp
@@ -135,6 +135,13 @@
   CHECK(Decoded->MadeAt == 5s);
   CHECK(Decoded->Distressed == 4s);
   CHECK_FALSE(decodeLoadNotice(""));
+  // A time that overflows when it is compared with others.
+  LoadNotice Odd = Notice;
+  Odd.MadeAt = Clock::duration::max();
+  CHECK_FALSE(decodeLoadNotice(encodeLoadNotice(Odd)));
+  Odd = Notice;
+  Odd.Distressed = Clock::duration::min();
+  CHECK_FALSE(decodeLoadNotice(encodeLoadNotice(Odd)));
   CHECK_FALSE(decodeLoadNotice(encodeLoadNotice(Notice).substr(1)));
 }
 
--- a/src/features/steering/VersionMove.cpp
+++ b/src/features/steering/VersionMove.cpp
@@ -1,5 +1,7 @@
 #include "steering/VersionMove.h"
 
+#include "base/JsonSeconds.h"
+
 #include <nlohmann/json.hpp>
 
 namespace rr {
@@ -12,11 +14,6 @@
   return std::chrono::duration<double>(Time).count();
 }
 
-Clock::duration fromSeconds(double Time) {
-  return std::chrono::duration_cast<Clock::duration>(
-      std::chrono::duration<double>(Time));
-}
-
 } // namespace
 
 std::string encodeVersionMove(const VersionMove &Move) {
@@ -47,9 +44,10 @@
     Move.Baseline = Value.at("baseline").get<std::set<std::string>>();
     Move.Rejected = Value.at("rejected").get<std::set<std::string>>();
     Move.Share = Value.at("share").get<double>();
-    Move.StartedAt = fromSeconds(Value.at("started").get<double>());
-    Move.StageStartedAt = fromSeconds(Value.at("stage").get<double>());
-    Move.Duration = fromSeconds(Value.at("duration").get<double>());
+    if (!readSeconds(Value, "started", Move.StartedAt) ||
+        !readSeconds(Value, "stage", Move.StageStartedAt) ||
+        !readSeconds(Value, "duration", Move.Duration))
+      return failure(Errc::Malformed);
     return Move;
   } catch (const json::exception &) {
     return failure(Errc::Malformed);
--- a/src/features/tables/RelayMessages.cpp
+++ b/src/features/tables/RelayMessages.cpp
@@ -15,6 +15,17 @@
   return json::binary({Text.begin(), Text.end()});
 }
 
+/// A query waits for less. Rows that claim to be complete for longer would
+/// count as current although they are not followed.
+constexpr Clock::duration MaxAhead = std::chrono::hours(1);
+/// Larger times overflow when they are added up.
+constexpr Clock::duration MaxTime = std::chrono::seconds(1'000'000'000);
+
+bool hasValidTimes(const RelayAnswer &Answer) {
+  return Answer.AsOfOffset >= -MaxTime && Answer.AsOfOffset <= MaxAhead &&
+         Answer.Rows.StoreTime >= -MaxTime && Answer.Rows.StoreTime <= MaxTime;
+}
+
 std::string toText(const json &Bytes) {
   const auto &Content = Bytes.get_binary();
   return {Content.begin(), Content.end()};
@@ -63,6 +74,8 @@
       Result.Rows.push_back(std::move(Row));
     }
     Answer.AsOfOffset = Clock::duration(Value->at(3).get<Clock::rep>());
+    if (!hasValidTimes(Answer))
+      return failure(Errc::Malformed);
     return Answer;
   } catch (const json::exception &) {
     return failure(Errc::Malformed);
--- a/src/features/tables/tst_TableRelay.cpp
+++ b/src/features/tables/tst_TableRelay.cpp
@@ -327,6 +327,38 @@
   CHECK_FALSE(decodeRelayAnswer("x"));
   CHECK_FALSE(decodeRelayAnswer(encodeRelayQuery({"t", 1})));
   CHECK_FALSE(decodeRelayQuery(encodeRelayAnswer({})));
+  // Rows that claim to be current for years, or times that overflow.
+  for (const Clock::duration Odd :
+       {Clock::duration(2h), Clock::duration::max(), Clock::duration::min()}) {
+    RelayAnswer Answer;
+    Answer.AsOfOffset = Odd;
+    CHECK_FALSE(decodeRelayAnswer(encodeRelayAnswer(Answer)));
+  }
+  RelayAnswer Late;
+  Late.Rows.StoreTime = Clock::duration::max();
+  CHECK_FALSE(decodeRelayAnswer(encodeRelayAnswer(Late)));
+  Late.Rows.StoreTime = 5s;
+  Late.AsOfOffset = -48h;
+  CHECK(decodeRelayAnswer(encodeRelayAnswer(Late)));
+}
+
+// Guards against an odd row that keeps the others from reaching an instance
+// that reads through another one.
+TEST_CASE("Rows with any bytes are relayed unchanged", "[relay]") {
+  RelayAnswer Sent;
+  Sent.Rows.Version = 9;
+  for (const std::string &Odd :
+       {std::string(), std::string("\0", 1), std::string("\xFF\xFE"),
+        std::string(65'536, '['), std::string(65'536, '\x9F'),
+        std::string("{\"a\":1e999}")})
+    Sent.Rows.Rows.push_back({Odd.substr(0, 200), Odd, 7, false});
+  const auto Received = decodeRelayAnswer(encodeRelayAnswer(Sent));
+  REQUIRE(Received);
+  REQUIRE(Received->Rows.Rows.size() == Sent.Rows.Rows.size());
+  for (std::size_t Index = 0; Index < Sent.Rows.Rows.size(); ++Index) {
+    CHECK(Received->Rows.Rows[Index].Key == Sent.Rows.Rows[Index].Key);
+    CHECK(Received->Rows.Rows[Index].Value == Sent.Rows.Rows[Index].Value);
+  }
 }
 
 TEST_CASE("An order reaches a follower within 2 s when the instance that reads "
--- /dev/null
+++ b/src/libs/base/JsonSeconds.cpp
@@ -0,0 +1,28 @@
+#include "base/JsonSeconds.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cmath>
+
+namespace rr {
+
+namespace {
+
+constexpr double MaxSeconds = 1e9;
+
+} // namespace
+
+bool readSeconds(const nlohmann::json &Value, const char *Key,
+                 Clock::duration &Target) {
+  const auto Found = Value.find(Key);
+  if (Found == Value.end() || !Found->is_number())
+    return false;
+  const double Seconds = Found->get<double>();
+  if (!(std::abs(Seconds) <= MaxSeconds))
+    return false;
+  Target = std::chrono::duration_cast<Clock::duration>(
+      std::chrono::duration<double>(Seconds));
+  return true;
+}
+
+} // namespace rr
