--- a/src/libs/http1/tst_MessageParser.cpp
+++ b/src/libs/http1/tst_MessageParser.cpp
@@ -91,8 +91,8 @@
       "GET /a%20b?c=d&e=[f]|\"#g HTTP/1.1\r\nHost: h \t\r\n\r\n",
       "GET /\xC3\xA4 HTTP/1.1\r\nHost: h\r\nX: \xE4\t\r\n\r\n",
       "OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n",
-      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
-      "2;a=b\r\nab\r\n0\r\nX: y\r\n\r\n",
+      ("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "2;a=b\r\nab\r\n0\r\nX: y\r\n\r\n"),
   };
   for (const std::string Request : Requests)
     for (std::size_t Split = 1; Split <= Request.size(); ++Split) {
