Count discarded bytes once however they arrive

A trailer field or chunk extension that arrived in single bytes was counted twice, so that half of the limit was enough to be refused, and one that came with the end of its message in one piece was not limited. MessageSyntax now counts what it has checked, and the limit is applied before the library reads.

--- a/src/libs/http1/MessageParser.cpp
+++ b/src/libs/http1/MessageParser.cpp
@@ -245,13 +245,15 @@
     S.Started = true;
     const std::string_view Rest = Bytes.substr(Used);
     const std::size_t Checked = S.Syntax.check(Rest);
+    if (S.Syntax.discardedBytes() > S.Limits.MaxHeaderBytes) {
+      S.stop(ParseError::HeaderTooLarge);
+      break;
+    }
     Used += S.parse(Rest.substr(0, Checked));
     if (S.Complete || S.Error != ParseError::None)
       break;
     if (S.Syntax.fault() != MessageFault::None)
       S.stop(S.Syntax.fault());
-    else if (S.Syntax.discardedBytes() > S.Limits.MaxHeaderBytes)
-      S.stop(ParseError::HeaderTooLarge);
     else if (S.Syntax.isHeaderComplete() != S.HeaderComplete || Checked == 0)
       // The library sees another end of the header section or of the message.
       S.stop(MessageFault::LineEnd);
--- a/src/libs/http1/MessageSyntax.cpp
+++ b/src/libs/http1/MessageSyntax.cpp
@@ -96,13 +96,13 @@
       return Bytes.size();
     if (this->Current == State::End)
       break;
-    const std::size_t Skipped = this->skip(Bytes.substr(Checked));
-    if (this->isDiscarding())
-      this->DiscardedBytes += Skipped + 1;
-    Checked += Skipped;
-    if (Checked == Bytes.size() || !this->step(Bytes[Checked]))
-      break;
-    ++Checked;
+    const bool Discards = this->isDiscarding();
+    const std::size_t Before = Checked;
+    Checked += this->skip(Bytes.substr(Checked));
+    if (Checked < Bytes.size() && this->step(Bytes[Checked]))
+      ++Checked;
+    if (Discards)
+      this->DiscardedBytes += Checked - Before;
     if (this->Current == State::Body)
       break;
   }
--- a/src/libs/http1/tst_MalformedAnswers.cpp
+++ b/src/libs/http1/tst_MalformedAnswers.cpp
@@ -252,6 +252,27 @@
   checkRefused(Head + "\rX", MessageFault::LineEnd);
 }
 
+// Guards against trailer fields without end, and against counting some of their
+// bytes twice when they arrive one by one.
+TEST_CASE("Chunk extensions and trailer fields are limited like the header "
+          "section",
+          "[malformed-answers]") {
+  const std::string Head = Ok + "Transfer-Encoding: chunked\r\n\r\n";
+  for (const bool Allowed : {true, false}) {
+    const std::string Long(ParserLimits().MaxHeaderBytes - (Allowed ? 8 : 0),
+                           'x');
+    for (const std::string &Text :
+         {Head + "0\r\nA:" + Long + "\r\n\r\n",
+          Head + "2;" + Long + "\r\nab\r\n0\r\n\r\n"}) {
+      std::vector<std::size_t> Each;
+      for (std::size_t End = 1; End < Text.size(); ++End)
+        Each.push_back(End);
+      CHECK(parse(Text).Complete == Allowed);
+      CHECK(parse(Text, Each).Complete == Allowed);
+    }
+  }
+}
+
 // Guards against a switch of protocols that nobody asked for: what follows is
 // not HTTP.
 TEST_CASE("An answer that switches protocols is refused",
