Check the type of whole numbers in rows and messages

Counts in rows of instances and moves, and versions and times in relayed tables, were converted from whatever number stood there. Out of range the result is undefined: with -fsanitize=undefined,float-cast-overflow the decoder cases of tst_OddEntries ended in decodeMember() at a sequence of 2^64.

Change: readCount() takes whole numbers only; relayed versions and times have to be integers. JsonSeconds is JsonNumbers now, since it holds both.

--- a/src/features/gateway/MemberCodec.cpp
+++ b/src/features/gateway/MemberCodec.cpp
@@ -1,6 +1,6 @@
 #include "gateway/MemberCodec.h"
 
-#include "base/JsonSeconds.h"
+#include "base/JsonNumbers.h"
 #include "settings/SocketAddress.h"
 
 #include <nlohmann/json.hpp>
@@ -37,8 +37,12 @@
 bool readOptionalFields(const json &Value, MemberRecord &Record) {
   Record.PeerAddress = Value.value("peers", "");
   Record.Joining = Value.value("joining", false);
-  Record.Sequence = Value.value("sequence", std::uint64_t{0});
-  Record.Configuration = Value.value("configuration", std::uint64_t{0});
+  if (Value.contains("sequence") &&
+      !readCount(Value, "sequence", Record.Sequence))
+    return false;
+  if (Value.contains("configuration") &&
+      !readCount(Value, "configuration", Record.Configuration))
+    return false;
   if (Value.contains("contact_since") &&
       !readSeconds(Value, "contact_since", Record.StoreContactSince))
     return false;
--- a/src/features/gateway/SuspectRow.cpp
+++ b/src/features/gateway/SuspectRow.cpp
@@ -1,6 +1,6 @@
 #include "gateway/SuspectRow.h"
 
-#include "base/JsonSeconds.h"
+#include "base/JsonNumbers.h"
 #include "quarantine/Fingerprint.h"
 
 #include <nlohmann/json.hpp>
--- a/src/features/steering/VersionMove.cpp
+++ b/src/features/steering/VersionMove.cpp
@@ -1,9 +1,11 @@
 #include "steering/VersionMove.h"
 
-#include "base/JsonSeconds.h"
+#include "base/JsonNumbers.h"
 
 #include <nlohmann/json.hpp>
 
+#include <cstdint>
+
 namespace rr {
 
 namespace {
@@ -35,8 +37,9 @@
     return failure(Errc::Malformed);
   try {
     VersionMove Move;
-    const int Phase = Value.at("phase").get<int>();
-    if (Phase < 0 || Phase > int(VersionMove::Phase::RolledBack))
+    std::uint64_t Phase = 0;
+    if (!readCount(Value, "phase", Phase) ||
+        Phase > std::uint64_t(VersionMove::Phase::RolledBack))
       return failure(Errc::Malformed);
     Move.State = VersionMove::Phase(Phase);
     Move.Service = Value.at("service").get<std::string>();
--- a/src/features/tables/RelayMessages.cpp
+++ b/src/features/tables/RelayMessages.cpp
@@ -63,12 +63,17 @@
   try {
     RelayAnswer Answer;
     TableRows &Result = Answer.Rows;
+    if (!Value->at(0).is_number_unsigned() ||
+        !Value->at(1).is_number_integer() || !Value->at(3).is_number_integer())
+      return failure(Errc::Malformed);
     Value->at(0).get_to(Result.Version);
     Result.StoreTime = Clock::duration(Value->at(1).get<Clock::rep>());
     for (const json &Item : Value->at(2)) {
       TableRow Row;
       Row.Key = toText(Item.at(0));
       Row.Value = toText(Item.at(1));
+      if (!Item.at(2).is_number_unsigned())
+        return failure(Errc::Malformed);
       Item.at(2).get_to(Row.Version);
       Item.at(3).get_to(Row.Deleted);
       Result.Rows.push_back(std::move(Row));
--- a/src/libs/base/JsonSeconds.cpp
+++ b/src/libs/base/JsonNumbers.cpp
@@ -1,4 +1,4 @@
-#include "base/JsonSeconds.h"
+#include "base/JsonNumbers.h"
 
 #include <nlohmann/json.hpp>
 
@@ -25,4 +25,13 @@
   return true;
 }
 
+bool readCount(const nlohmann::json &Value, const char *Key,
+               std::uint64_t &Target) {
+  const auto Found = Value.find(Key);
+  if (Found == Value.end() || !Found->is_number_unsigned())
+    return false;
+  Target = Found->get<std::uint64_t>();
+  return true;
+}
+
 } // namespace rr
