--- a/src/features/usage/tst_UsageLease.cpp
+++ b/src/features/usage/tst_UsageLease.cpp
@@ -1,5 +1,7 @@
+#include "testing/MachineUptime.h"
 #include "usage/UsageBacklog.h"
 #include "usage/UsageLease.h"
+#include "usage/UsageTestBed.h"
 
 #include <catch2/catch.hpp>
 
@@ -162,3 +164,14 @@
   CHECK(Backlog.dropOldest() == 1);
   CHECK(Backlog.done() == 1);
 }
+
+// Guards against a search for reports whose first window is before the start of
+// the machine: it found none in the first 17 minutes.
+TEST_CASE("Stored reports are counted however long the machine has been up",
+          "[usage]") {
+  const MachineUptime Uptime(GENERATE(1s, 12s, 999s, 1001s, 100h));
+  UsageTestBed Bed(1);
+  CHECK(Bed.storedReports() == 0);
+  Bed.Tables.put(UsageDuty::ReportTable, std::to_string(Bed.window()), "{}");
+  CHECK(Bed.storedReports() == 1);
+}
--- a/src/features/usage/tst_UsageReporter.cpp
+++ b/src/features/usage/tst_UsageReporter.cpp
@@ -1,3 +1,4 @@
+#include "testing/MachineUptime.h"
 #include "usage/UsageTestBed.h"
 
 #include <asio/co_spawn.hpp>
@@ -39,23 +40,6 @@
   Node *First = nullptr;
 };
 
-/// Runs a test as on a machine that has been up for some time.
-class MachineUptime {
-public:
-  explicit MachineUptime(Clock::duration Uptime) : Before(Clock::now()) {
-    Clock::pauseAt(Clock::time_point(Uptime));
-  }
-  ~MachineUptime() {
-    Clock::pauseAt(this->Before);
-    Clock::resume();
-  }
-  MachineUptime(const MachineUptime &) = delete;
-  MachineUptime &operator=(const MachineUptime &) = delete;
-
-private:
-  Clock::time_point Before;
-};
-
 } // namespace
 
 // Guards against counts that are missing, added twice or late in ordinary
@@ -135,17 +119,6 @@
   CHECK(Bed.First->Reporter->duty().token() > Token);
 }
 
-// Guards against a search for reports whose first window is before the start of
-// the machine: it found none in the first 17 minutes.
-TEST_CASE("Stored reports are counted however long the machine has been up",
-          "[usage]") {
-  const MachineUptime Uptime(GENERATE(1s, 12s, 999s, 1001s, 100h));
-  UsageTestBed Bed(1);
-  CHECK(Bed.storedReports() == 0);
-  Bed.Tables.put(UsageDuty::ReportTable, std::to_string(Bed.window()), "{}");
-  CHECK(Bed.storedReports() == 1);
-}
-
 // Guards against a holder that reports on while it cannot renew its lease.
 TEST_CASE("A holder that the store rejects while it serves others stops before "
           "its lease ends",
