Reserve the ports of the soak's instances for the whole run

Cause: the soak chose a free port for each instance and left it free while the instance was down. The port is in the range from which the kernel takes those of outgoing connections, of which a run opens thousands. One that has the port keeps the instance from listening: shown with two sockets (EADDRINUSE).

Change: the fleet holds a bound socket for each port.

--- a/src/features/gateway/SoakFleet.cpp
+++ b/src/features/gateway/SoakFleet.cpp
@@ -40,10 +40,15 @@
 constexpr double StandbyShare = 0.005;
 constexpr double StandbyBurstShare = 0.3;
 
-std::string freeAddress(asio::io_context &Context) {
-  asio::ip::tcp::acceptor Acceptor(Context,
-                                   {asio::ip::make_address("127.0.0.1"), 0});
-  return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+/// A socket bound to a free port, beside which others may listen. The kernel
+/// gives the port to no outgoing connection meanwhile, which would keep an
+/// instance that restarts from listening.
+asio::ip::tcp::socket reservePort(asio::io_context &Context) {
+  const asio::ip::tcp::endpoint Any(asio::ip::make_address("127.0.0.1"), 0);
+  asio::ip::tcp::socket Reserved(Context, Any.protocol());
+  Reserved.set_option(asio::socket_base::reuse_address(true));
+  Reserved.bind(Any);
+  return Reserved;
 }
 
 std::string seconds(Clock::time_point Time) {
@@ -77,8 +82,12 @@
   Item->Name = Name;
   Item->Zone = Zone;
   Item->CpuShare = CpuShare;
-  Item->CallerAddress = freeAddress(this->SharedContext);
-  Item->PeerAddress = freeAddress(this->SharedContext);
+  for (std::string *Address : {&Item->CallerAddress, &Item->PeerAddress}) {
+    this->ReservedPorts.push_back(reservePort(this->SharedContext));
+    *Address =
+        "127.0.0.1:" +
+        std::to_string(this->ReservedPorts.back().local_endpoint().port());
+  }
   this->startNode(*Item);
   this->Nodes.push_back(std::move(Item));
 }
--- a/src/features/gateway/SoakFleet.h
+++ b/src/features/gateway/SoakFleet.h
@@ -9,6 +9,7 @@
 #include "usage/FakeUsageApi.h"
 
 #include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
 
 #include <deque>
 #include <map>
@@ -232,6 +233,8 @@
   std::mt19937 Random;
   bool OneRegion;
   asio::io_context SharedContext;
+  /// Of the instances, for the whole run.
+  std::vector<asio::ip::tcp::socket> ReservedPorts;
   FakeTables Tables;
   TestConfigurations Configs;
   std::vector<std::unique_ptr<Node>> Nodes;
